--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,677 @@
+// The decision module of cottonwing: all decisions, tables and tuned values of one backend.
+//
+// Called once a round, Decider::decide(round, out): round holds all that came in, decisions go straight into
+// out. The interface is logic.h; docs/design.md says what follows DESIGN and what is ours. A round books what
+// came in, answers what is out of time, thins the hold, serves calls below, starts held commands by due time,
+// then speaks to the callers. An alarm every kPulse brings the gauges; no other clock is needed.
+
+#include "logic.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+#include <random>
+#include <set>
+
+namespace cottonwing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::duration;
+using std::chrono::duration_cast;
+
+// The design's figures.
+constexpr int kMaxAttempts = 3;
+constexpr double kMaxTokens = 10, kTokenRatio = 0.1;
+constexpr int kTripInARow = 5, kWindow = 20, kProbesToClose = 3;
+constexpr double kMemoryMark = 0.85;
+
+// Ours.
+constexpr Nanos kPulse = 20ms;              // gauges, due times and back-off ends are looked at this often
+constexpr Nanos kStall = 150ms;             // a pulse this late means that the process stood still
+constexpr Nanos kAnswerMargin = 30ms;       // answered this long before the hard stop
+constexpr Nanos kLeaveMargin = 150ms;       // answered this long before the process ends
+constexpr double kAttemptShare = 0.75;      // AttemptTimeout as a part of the shortest promised time
+constexpr double kBackoffShare = 1.0 / 16;  // BackoffBase as a part of AttemptTimeout
+constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
+constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
+constexpr double kCrowd = 1.15;             // what should ask for a core, by the gauge, for each core
+constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
+constexpr double kCallSafety = 0.85;        // part of our share of the dependency that is ever used
+constexpr double kCallFloor = 0.2;          // part of it that is always used when wanted
+constexpr double kCrowdedCall = 2.0;        // calls taking this multiple of the usual mean a crowd below
+constexpr double kOverShare = 1.25;         // a customer's excess is believed past this multiple of its quota
+
+double seconds(Nanos time) { return duration<double>(time).count(); }
+Nanos nanos(double time) { return duration_cast<Nanos>(duration<double>(time)); }
+
+enum class Phase { Held, Joined, Running, AtCall, Calling };
+
+// One command in hand. The table of these empties as commands end.
+struct InHand {
+    int profile = 0, customer = -1;
+    Phase phase = Phase::Held;
+    Nanos due{0}, answerBy{0}, promised{0}, reached{0};
+    double kb = 0, rank = 0, work = 0;
+    bool again = false, answered = false, ran = false, entry = false, probe = false, weak = false;
+    int attempts = 0;
+    Nanos since{0}, readyAt{0};  // of the phase; end of the back-off
+    double onCores = 0;          // seconds, before this phase
+    int calls = 0;
+};
+
+// One row a profile: its terms, and what was seen of it lately.
+struct ProfileRow {
+    ProfileTerms terms;
+    double seen = 0, onCores, whole,
+           calls;               // runs seen; mean seconds on the cores, in all, and calls of a run
+    double work = 0;            // mean expected work, where told
+    double asked = 0, got = 0;  // decaying: commands read, earnings kept of them
+    double firstLeft = 0;       // what callers of first tries wait at most, lately
+};
+
+// DESIGN: one for the dependency; 5 failures in a row or half of the last 20 open it, one probe at a time
+// once OpenFor is over, three good probes close it.
+class Breaker {
+public:
+    enum class State { Closed, Open, HalfOpen };
+    State state = State::Closed;
+    Nanos until{0};
+    bool probing = false;
+
+    void book(bool good, Nanos now, Nanos openFor) {
+        if (state == State::HalfOpen) {
+            if (!good) return open(now, openFor);
+            if (++inARow_ >= kProbesToClose) *this = Breaker();
+        } else if (state == State::Closed) {
+            last_[next_++ % kWindow] = !good;
+            failed_ = std::min(next_, kWindow) == kWindow ? std::count(last_, last_ + kWindow, true) : 0;
+            inARow_ = good ? 0 : inARow_ + 1;
+            if (inARow_ >= kTripInARow || failed_ * 2 >= kWindow) open(now, openFor);
+        }
+    }
+    int inARow() const { return inARow_; }
+    int failed() const { return static_cast<int>(failed_); }
+    void halfOpen() { state = State::HalfOpen, inARow_ = 0, probing = false; }
+
+private:
+    void open(Nanos now, Nanos openFor) { state = State::Open, until = now + openFor, probing = false; }
+
+    int inARow_ = 0, next_ = 0;
+    long failed_ = 0;
+    bool last_[kWindow] = {};
+};
+
+class Logic : public Decider {
+public:
+    explicit Logic(const StartTerms& terms)
+        : terms_(terms), chance_(static_cast<std::mt19937::result_type>(terms.seed ^ (terms.seed >> 32))) {
+        Nanos shortest = Nanos::max();
+        for (const ProfileTerms& profile : terms.profiles) {
+            const double guess = seconds(profile.promised) / 6;
+            profiles_.push_back({profile, 0, guess, guess, profile.calls ? 1.0 : 0.0});
+            if (profile.calls) shortest = std::min(shortest, profile.promised);
+        }
+        attemptTimeout_ = shortest == Nanos::max() ? Nanos(1s) : nanos(seconds(shortest) * kAttemptShare);
+        limit_ = terms.cores;
+        callCap_ = std::max(1.0, terms.callShare * 0.5);
+        customers_.resize(terms.customers.size());
+    }
+
+    void decide(const Round& round, DecisionWriter& out) override {
+        out_ = &out;
+        now_ = round.now;
+        if (!begun_) begin();
+        noticeStall(round.gauges.has_value());
+        if (round.stopAt) leave(*round.stopAt);
+        for (const Command& command : round.read) read(command);
+        for (const Result& result : round.callsBack) callBack(result);
+        for (const CommandId id : round.parked) parked(id);
+        for (const Result& result : round.runsEnded) runEnded(result);
+        for (const CommandId id : round.callersLeft) callerLeft(id);
+        if (round.gauges) gauge(*round.gauges);
+        answerOverdue();
+        thinHold();
+        serveCalls();
+        startHeld();
+        if (now_ >= nextPulse_) pulse();
+    }
+
+private:
+    using Table = std::map<CommandId, InHand>;
+
+    void begin() {
+        begun_ = true;
+        bornAt_ = decayedAt_ = now_;
+        out_->health(true);
+    }
+
+    // A process that stood still hears of time-outs it caused itself: results that come with a late pulse, or
+    // shortly after, are not the dependency's failures.
+    void noticeStall(bool rang) {
+        if (rang && nextPulse_ > Nanos(0) && now_ - nextPulse_ > kStall) {
+            stalledUntil_ = now_ + kPulse;
+            log("stall: pulse late by %.0f ms", seconds(now_ - nextPulse_) * 1e3);
+        }
+    }
+
+    // ---- reading ------------------------------------------------------------------------------------------
+
+    void read(const Command& command) {
+        ProfileRow& row = profiles_[command.profile];
+        InHand in;
+        in.profile = command.profile;
+        in.customer = command.customer;
+        in.reached = now_ - command.waited;
+        in.due = command.due.value_or(in.reached + row.terms.hardStop);
+        in.work = command.work ? seconds(*command.work) : 0;
+        in.kb = command.heldKb;
+        in.rank = command.rank;
+        in.again = command.again;
+        in.promised = promisedEnd(in, row);
+        row.asked += 1;
+        readLately_ += 1;
+        if (in.work > 0) row.work += (in.work - row.work) * 0.05;
+        if (in.customer >= 0) customers_[in.customer] += 1;
+        heldKb_ += in.kb;
+        const auto at = table_.emplace(command.id, in).first;
+        setAnswerBy(at);
+        // Anything that reached us after notice + grace is never run.
+        if (stopAt_ && in.reached > noticeAt_ + terms_.drainGrace) return giveUp(at);
+        // Either it is still here or some try of it ran: only the answer of that one may be given. Joined
+        // ones eat memory too, so past the mark they are scrapped; a bounce would promise that no try ran.
+        if (row.terms.repeat == Repeat::Tagged && command.repeats != 0) {
+            at->second.phase = Phase::Joined;
+            if (memoryKb() > kMemoryMark * terms_.memoryKb) return giveUp(at);
+            return out_->join(command.id);
+        }
+        // An entry has to outlive the window of whatever may run from it; without room for one it can't be
+        // run.
+        const double entry = row.terms.repeat == Repeat::Tagged ? terms_.entryKb : 0;
+        if (memoryKb() + entry > kMemoryMark * terms_.memoryKb) return giveUp(at);
+        if (entry > 0) {
+            at->second.entry = true;
+            const Nanos until = now_ + row.terms.window + kStall;
+            entries_.emplace(until, command.id);
+            out_->keep(command.id, until - now_);
+        }
+        // A command that would meet an open breaker is turned away before it costs work.
+        if (breaker_.state == Breaker::State::Open && row.terms.calls && row.terms.poorerShare <= 0) {
+            return giveUp(at, breaker_.until - now_);
+        }
+        hold_.emplace(at->second.due, command.id);
+    }
+
+    // When the promised time of the first try ends. A further try that waits for less than first tries do was
+    // cut by its client's hard stop, which tells when the first try began.
+    Nanos promisedEnd(const InHand& in, ProfileRow& row) const {
+        const double left = seconds(in.due - in.reached);
+        if (!in.again) row.firstLeft = std::max(left, row.firstLeft * 0.999);
+        Nanos end = row.terms.promised + nanos(row.terms.promisedStretch * in.work);
+        end = in.again && left < 0.97 * row.firstLeft ? in.due - row.terms.hardStop + end : in.reached + end;
+        return std::min(end, in.due) - kPulse;
+    }
+
+    void setAnswerBy(Table::iterator at) {
+        Nanos by = at->second.due - kAnswerMargin;
+        if (stopAt_) by = std::min(by, *stopAt_ - kLeaveMargin);
+        overdue_.erase({at->second.answerBy, at->first});
+        at->second.answerBy = by;
+        overdue_.emplace(by, at->first);
+    }
+
+    void leave(Nanos stopAt) {
+        if (stopAt_) return;
+        stopAt_ = stopAt;
+        noticeAt_ = now_;
+        out_->health(false);
+        log("leaving: %.1f s left, %zu in hand", seconds(stopAt - now_), table_.size());
+        for (auto at = table_.begin(); at != table_.end(); ++at)
+            if (!at->second.answered) setAnswerBy(at);
+    }
+
+    // ---- endings ------------------------------------------------------------------------------------------
+
+    double memoryKb() {
+        while (!entries_.empty() && entries_.begin()->first <= now_) entries_.erase(entries_.begin());
+        return heldKb_ + runningKb_ * terms_.runFactor +
+               static_cast<double>(entries_.size()) * terms_.entryKb;
+    }
+
+    // Out of every table but the entries: those run out by their window.
+    void drop(Table::iterator at) {
+        InHand& in = at->second;
+        overdue_.erase({in.answerBy, at->first});
+        hold_.erase({in.due, at->first});
+        atCalls_.erase({in.due, at->first});
+        if (in.phase == Phase::Calling) callLeft(in);
+        if (in.phase == Phase::Held || in.phase == Phase::Joined) {
+            heldKb_ -= in.kb;
+        } else {
+            runningKb_ -= in.kb;
+            if (in.phase == Phase::Running) --onCores_;
+            --running_;
+        }
+        table_.erase(at);
+    }
+
+    // A call that ends with its command still counts below, and frees the probe's place.
+    void callLeft(InHand& in) {
+        lingering_.insert(now_ + terms_.linger);
+        --callsOut_;
+        if (in.probe) breaker_.probing = in.probe = false;
+    }
+
+    // The final answer of what has been given up, at once. What never ran is bounced, so that its caller may
+    // take it elsewhere; what ran is scrapped, and stopped where that can be done.
+    void giveUp(Table::iterator at, Nanos comeBack = 0ns) {
+        InHand& in = at->second;
+        const CommandId id = at->first;
+        if (!in.ran && in.phase == Phase::Held) {
+            if (terms_.comeBackAllowed && comeBack == 0ns && pressure_ > 0.1)
+                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, pressure_) * draw());
+            comeBack = terms_.comeBackAllowed ? std::min(comeBack, terms_.longestComeBack) : 0ns;
+            // A further try that is turned away here too has met a fleet that is full.
+            const bool nowhereElse = terms_.marksRetry ? in.again : draw() < pressure_ - 0.2;
+            out_->bounce(id, comeBack, nowhereElse);
+            if (in.entry) {
+                out_->forget(id);
+                std::erase_if(entries_, [id](const auto& entry) { return entry.second == id; });
+            }
+            return drop(at);
+        }
+        out_->scrap(id);
+        if (in.phase == Phase::Joined) return drop(at);
+        endedUnhandled(at);
+    }
+
+    // Runs on without a caller: its end still has to come.
+    void endedUnhandled(Table::iterator at) {
+        InHand& in = at->second;
+        in.answered = true;
+        overdue_.erase({in.answerBy, at->first});
+        atCalls_.erase({in.due, at->first});
+        if (in.phase == Phase::Running && terms_.halting != Halting::Never) out_->halt(at->first);
+    }
+
+    void runEnded(const Result& result) {
+        const auto at = table_.find(result.id);
+        if (at == table_.end()) return;
+        InHand& in = at->second;
+        ProfileRow& row = profiles_[in.profile];
+        if (in.phase == Phase::Running && result.outcome == Outcome::Ok) {
+            const double onCores = in.onCores + seconds(now_ - in.since);
+            const double weight = std::max(0.05, 1 / (row.seen += 1));
+            row.onCores += (onCores - row.onCores) * weight;
+            row.whole += (seconds(result.took) - row.whole) * weight;
+            row.calls += (in.calls - row.calls) * weight;
+        }
+        if (result.outcome == Outcome::Ok && !in.answered)
+            row.got += now_ <= in.promised + kPulse ? 1 : row.terms.lateShare;
+        drop(at);
+    }
+
+    void callerLeft(CommandId id) {
+        const auto at = table_.find(id);
+        if (at == table_.end() || at->second.answered) return;
+        if (at->second.phase == Phase::Held || at->second.phase == Phase::Joined) return drop(at);
+        endedUnhandled(at);
+    }
+
+    void answerOverdue() {
+        while (!overdue_.empty() && overdue_.begin()->first <= now_ + kPulse) {
+            giveUp(table_.find(overdue_.begin()->second));
+        }
+    }
+
+    // ---- the hold -----------------------------------------------------------------------------------------
+
+    // Seconds on the cores, and in all, that a command should take here. Runs that are older than runs
+    // usually get (a slow or hanging machine) stretch both before any of them has ended.
+    double onCores(const InHand& in, const ProfileRow& row) const {
+        const double told = in.work > 0 && row.work > 0 ? in.work / row.work : 1.0;
+        return row.onCores * told * strain_;
+    }
+    double whole(const InHand& in, const ProfileRow& row) const {
+        return onCores(in, row) + std::max(0.0, row.whole - row.onCores);
+    }
+
+    // What handling a command in time adds to the goal: its earnings, and more while its profile is the one
+    // that fares worst here. A customer believed beyond its share is worth what its excess is.
+    double worth(const InHand& in) const {
+        const ProfileRow& row = profiles_[in.profile];
+        double all = 0, worst = 1;
+        for (const ProfileRow& other : profiles_) {
+            all += other.asked * other.terms.earnings;
+            if (other.asked > 1) worst = std::min(worst, other.got / other.asked);
+        }
+        const double behind = row.asked > 1 ? std::exp(-10 * (row.got / row.asked - worst)) : 1;
+        double value = terms_.goalWhole * row.terms.earnings +
+                       terms_.goalWorstProfile * behind * all / std::max(1.0, row.asked);
+        if (in.customer >= 0) {
+            const double quota = terms_.customers[in.customer].quotaPerSecond / terms_.peers * kOverShare;
+            const double rate = customers_[in.customer] / kMemory;
+            const double over = rate > quota ? 1 - quota / rate : 0;
+            value *= 1 - over * (1 - terms_.overShareWorth);
+        }
+        return value * (terms_.earningsByWork && in.work > 0 ? in.work : 1);
+    }
+
+    // Gives up what the hold can't handle in time, as soon as that is seen, and of what stands before the
+    // first late one that which earns least for its work (after Moore and Hodgson), not the one at the end.
+    void thinHold() {
+        if (hold_.empty()) return;
+        struct Entry {
+            CommandId id;
+            double cost, density, calls;
+        };
+        std::vector<Entry> kept;
+        std::vector<CommandId> out;
+        double mean = 0;
+        for (const ProfileRow& row : profiles_) mean += row.onCores / static_cast<double>(profiles_.size());
+        double ahead = -std::max(0.0, limit_ - onCores_) * mean * strain_;
+        const double callPace = terms_.below == Below::Shared ? callTime_ / callCap_ : 0;
+        double calls = static_cast<double>(atCalls_.size()) * callPace;
+        for (const auto& [due, id] : hold_) {
+            const InHand& in = table_.at(id);
+            const ProfileRow& row = profiles_[in.profile];
+            const double cost = onCores(in, row), all = whole(in, row);
+            double value = worth(in);
+            Nanos latest = in.promised;
+            if (now_ + nanos(0.7 * all) > latest) {
+                value *= row.terms.lateShare;
+                latest = in.answerBy;
+                if (value <= 0 || now_ + nanos(0.7 * all) > latest) {
+                    out.push_back(id);
+                    continue;
+                }
+            }
+            kept.push_back({id, cost, value / cost, row.calls * callPace});
+            ahead += cost;
+            calls += kept.back().calls;
+            const double wait = std::max(0.0, ahead / limit_ - cost / limit_);
+            if (now_ + nanos(std::max(wait, calls) + all) <= latest) continue;
+            const bool callsBind = calls > wait;
+            auto least = kept.end();
+            for (auto entry = kept.begin(); entry != kept.end(); ++entry)
+                if ((!callsBind || entry->calls > 0) &&
+                    (least == kept.end() || entry->density < least->density))
+                    least = entry;
+            if (least == kept.end()) least = kept.end() - 1;
+            ahead -= least->cost;
+            calls -= least->calls;
+            out.push_back(least->id);
+            kept.erase(least);
+        }
+        for (const CommandId id : out) {
+            shedLately_ += 1;
+            giveUp(table_.find(id));
+        }
+    }
+
+    // The crowd that kills counts what is on the cores; what waits at a call may come back all at once.
+    double crowdCeiling() const {
+        double speed = 1;
+        if (terms_.cold && terms_.rampTime > 0ns)
+            speed =
+                std::min(1.0, terms_.startCapacity + (1 - terms_.startCapacity) * seconds(now_ - bornAt_) /
+                                                         seconds(terms_.rampTime));
+        return terms_.cores * (1 + (terms_.fallMultiple - 1) * speed) * kCrowdSafety;
+    }
+
+    void startHeld() {
+        while (!hold_.empty() && onCores_ < std::min(limit_, crowdCeiling()) && running_ < crowdCeiling()) {
+            const auto at = table_.find(hold_.begin()->second);
+            InHand& in = at->second;
+            if (memoryKb() + in.kb * (terms_.runFactor - 1) > kStartMark * terms_.memoryKb) return;
+            hold_.erase(hold_.begin());
+            in.phase = Phase::Running;
+            in.ran = true;
+            in.since = now_;
+            heldKb_ -= in.kb;
+            runningKb_ += in.kb;
+            ++onCores_;
+            ++running_;
+            out_->start(at->first);
+        }
+    }
+
+    // ---- calls below --------------------------------------------------------------------------------------
+
+    void parked(CommandId id) {
+        const auto at = table_.find(id);
+        if (at == table_.end() || at->second.phase != Phase::Running) return;
+        InHand& in = at->second;
+        in.onCores += seconds(now_ - in.since);
+        in.phase = Phase::AtCall;
+        in.since = in.readyAt = now_;
+        in.attempts = 0;
+        ++in.calls;
+        --onCores_;
+        if (!in.answered) atCalls_.emplace(in.due, id);
+    }
+
+    void callBack(const Result& result) {
+        const auto at = table_.find(result.id);
+        if (at == table_.end() || at->second.phase != Phase::Calling) return;
+        InHand& in = at->second;
+        const ProfileTerms& terms = profiles_[in.profile].terms;
+        const bool good = result.outcome == Outcome::Ok, timedOut = result.outcome == Outcome::TimedOut;
+        --callsOut_;
+        if (timedOut || result.outcome == Outcome::Broken) lingering_.insert(now_ + terms_.linger);
+        // Time-outs of a process that stood still, or of a command with little time of its own, say nothing
+        // of the dependency.
+        const bool ours = timedOut && (now_ <= stalledUntil_ || in.weak);
+        if (in.probe) breaker_.probing = in.probe = false;
+        if (!ours) book(good);
+        tokens_ = good ? std::min(kMaxTokens, tokens_ + kTokenRatio) : std::max(0.0, tokens_ - 1);
+        if (good || timedOut) learnCallTime(seconds(result.took), good);
+        if (good) {
+            in.phase = Phase::Running;
+            in.since = now_;
+            ++onCores_;
+            return;
+        }
+        in.phase = Phase::AtCall;
+        if (in.answered) return;
+        const bool neverRan = result.outcome == Outcome::Full || result.outcome == Outcome::Unreachable;
+        const bool repeats = terms.repeat == Repeat::Repeatable ? result.outcome != Outcome::Error : neverRan;
+        const double most = std::min(seconds(attemptTimeout_), seconds(attemptTimeout_) * kBackoffShare *
+                                                                   std::pow(2.0, in.attempts - 1));
+        in.readyAt = now_ + nanos(most * draw());
+        if (repeats && in.attempts < kMaxAttempts && tokens_ > kMaxTokens / 2 && in.readyAt < in.promised) {
+            atCalls_.emplace(in.due, result.id);
+        } else {
+            withoutCall(at);
+        }
+    }
+
+    void book(bool good) {
+        const Breaker::State before = breaker_.state;
+        breaker_.book(good, now_, nanos(seconds(attemptTimeout_) * kOpenShare * (0.8 + 0.4 * draw())));
+        if (breaker_.state == before) return;
+        if (breaker_.state == Breaker::State::Closed)
+            log("breaker closed: %d good probes", kProbesToClose);
+        else if (before == Breaker::State::HalfOpen)
+            log("breaker open again: a probe failed, %d good before", breaker_.inARow());
+        else
+            log("breaker open: %d failures in a row, %d of the last %d", breaker_.inARow(), breaker_.failed(),
+                kWindow);
+    }
+
+    // The dependency slows long before it falls: calls that take a multiple of what they usually take mean
+    // that all of us have too many out.
+    void learnCallTime(double took, bool good) {
+        callTime_ += (took - callTime_) * 0.1;
+        if (good)
+            usualCall_ =
+                usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
+        if (terms_.below != Below::Shared || now_ < nextCap_) return;
+        const double most = std::max(1.0, terms_.callShare * kCallSafety);
+        if (callTime_ > kCrowdedCall * usualCall_) {
+            callCap_ *= 0.9;
+            nextCap_ = now_ + nanos(callTime_);
+        } else {
+            callCap_ += 0.5 / callCap_;
+        }
+        callCap_ = std::clamp(callCap_, std::min(most, std::max(1.0, terms_.callShare * kCallFloor)), most);
+    }
+
+    // The design fails a command whose call was rejected, or leaves the call out where its profile allows
+    // that.
+    void withoutCall(Table::iterator at) {
+        InHand& in = at->second;
+        atCalls_.erase({in.due, at->first});
+        if (profiles_[in.profile].terms.poorerShare <= 0) return giveUp(at);
+        in.phase = Phase::Running;
+        in.since = now_;
+        ++onCores_;
+        out_->leaveOut(at->first);
+    }
+
+    bool roomBelow() {
+        while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
+        if (terms_.below != Below::Shared) return true;
+        const double inHands = callsOut_ + static_cast<double>(lingering_.size());
+        // A share below one call holds in the mean only.
+        if (terms_.callShare < 1 && meanOut_ > terms_.callShare * kCallSafety) return false;
+        return inHands + 1 <= callCap_;
+    }
+
+    void serveCalls() {
+        if (breaker_.state == Breaker::State::Open && now_ >= breaker_.until) {
+            breaker_.halfOpen();
+            log("breaker half-open: %zu at calls", atCalls_.size());
+        }
+        const auto waiting = std::vector<std::pair<Nanos, CommandId>>(atCalls_.begin(), atCalls_.end());
+        for (const auto& [due, id] : waiting) {
+            const auto at = table_.find(id);
+            InHand& in = at->second;
+            if (breaker_.state == Breaker::State::Open) {
+                withoutCall(at);
+                continue;
+            }
+            // Past its promised time it earns nothing here: no call for it.
+            if (now_ >= in.promised && profiles_[in.profile].terms.lateShare <= 0) {
+                giveUp(at);
+                continue;
+            }
+            if (in.readyAt > now_ || !roomBelow()) continue;
+            // While a probe is out the others wait for its result rather than being scrapped.
+            if (breaker_.state == Breaker::State::HalfOpen) {
+                if (breaker_.probing) continue;
+                breaker_.probing = in.probe = true;
+            }
+            const Nanos patience = std::min(attemptTimeout_, (in.answerBy - now_) / 2);
+            in.weak = patience < attemptTimeout_ / 2;
+            in.phase = Phase::Calling;
+            ++in.attempts;
+            ++callsOut_;
+            atCalls_.erase({due, id});
+            out_->call(id, patience);
+        }
+    }
+
+    // ---- observation and what callers are told ------------------------------------------------------------
+
+    // How many run is learned: as many as keep the cores asked for a little more than once, reading included.
+    // Runs that wait for disk are seen only by what the gauge lacks.
+    void gauge(const Gauges& gauges) {
+        if (!gauges.onCores) return;
+        asking_ += (*gauges.onCores - asking_) * 0.1;
+        const double want = kCrowd * terms_.cores;
+        if (!hold_.empty() && onCores_ + 1 > limit_)
+            limit_ += 0.02 * std::clamp(want - asking_, -want, want);
+        else
+            limit_ += 0.005 * (terms_.cores - limit_);
+        limit_ = std::clamp(limit_, 0.5 * terms_.cores, 3.0 * terms_.cores);
+    }
+
+    void pulse() {
+        const double passed = seconds(now_ - decayedAt_);
+        decayedAt_ = now_;
+        const double slow = std::exp(-passed / kMemory), quick = std::exp(-passed);
+        for (ProfileRow& row : profiles_) row.asked *= slow, row.got *= slow;
+        for (double& customer : customers_) customer *= slow;
+        readLately_ *= quick, shedLately_ *= quick;
+        pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
+        if (terms_.callsOver > 0ns)
+            meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
+                        std::min(1.0, 2 * passed / seconds(terms_.callsOver));
+        double age = 0, usual = 0;
+        for (const auto& [id, in] : table_) {
+            if (in.phase != Phase::Running) continue;
+            age += in.onCores + seconds(now_ - in.since);
+            usual += profiles_[in.profile].onCores;
+        }
+        strain_ = usual > 0 ? std::clamp(age / usual, 1.0, 10.0) : 1.0;
+        tellCallers();
+        nextPulse_ = now_ + kPulse;
+        out_->wakeAfter(kPulse);
+    }
+
+    void tellCallers() {
+        if (overloaded_ ? pressure_ < 0.02 : pressure_ > 0.15) {
+            overloaded_ = !overloaded_;
+            log(overloaded_ ? "overload: %.0f%% given up, %zu held"
+                            : "overload over: %.0f%% given up, %zu held",
+                pressure_ * 100, hold_.size());
+        }
+        if (now_ < nextTold_) return;
+        nextTold_ = now_ + 200ms;
+        double value = told_;
+        if (terms_.freeValue == FreeValue::Share) {
+            value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
+        } else if (terms_.freeValue == FreeValue::Level) {
+            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0, 0.5);
+        }
+        if (value == told_) return;
+        told_ = value;
+        out_->freeValue(value);
+    }
+
+    double draw() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
+
+    template <typename... Figures>
+    void log(const char* format, Figures... figures) {
+        char line[160];
+        std::snprintf(line, sizeof line, format, figures...);
+        out_->log(line);
+    }
+
+    static constexpr double kMemory = 10;  // seconds over which asked and got fade
+
+    const StartTerms terms_;
+    std::mt19937 chance_;
+    DecisionWriter* out_ = nullptr;
+    Nanos now_{0}, bornAt_{0}, nextPulse_{0}, decayedAt_{0}, stalledUntil_{-1}, noticeAt_{0}, nextTold_{0};
+    bool begun_ = false, overloaded_ = false;
+    std::optional<Nanos> stopAt_;
+
+    std::vector<ProfileRow> profiles_;
+    std::vector<double> customers_;                  // decaying: commands read of each
+    Table table_;                                    // emptied by answers, ends and callers that leave
+    std::set<std::pair<Nanos, CommandId>> hold_;     // held, by due time; emptied by starts and answers
+    std::set<std::pair<Nanos, CommandId>> atCalls_;  // waiting for a call or its repeat; emptied by both
+    std::set<std::pair<Nanos, CommandId>> overdue_;  // unanswered, by when they must be; emptied by answers
+    std::set<std::pair<Nanos, CommandId>> entries_;  // kept tags, by their end; emptied by time
+    std::multiset<Nanos> lingering_;                 // abandoned calls, by their end; emptied by time
+
+    int onCores_ = 0, running_ = 0, callsOut_ = 0;
+    double heldKb_ = 0, runningKb_ = 0;
+    double limit_ = 1, asking_ = 0, strain_ = 1;
+    double readLately_ = 0, shedLately_ = 0, pressure_ = 0;
+    double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
+
+    Breaker breaker_;
+    Nanos attemptTimeout_{0}, nextCap_{0};
+    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
+};
+
+}  // namespace
+
+std::unique_ptr<Decider> makeDecider(const StartTerms& terms) { return std::make_unique<Logic>(terms); }
+
+}  // namespace cottonwing
