Hints: the first one stands for the mean cost, not a mean that grows from nothing

Cause: the running mean of told work began at 0, so a fresh node took each early command for twenty times the usual and bounced it; seen as '18% given up, 0 held' on every start. Covers every cold start of a site with hints. Could hurt where the very first command is far off the mean.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -173,7 +173,8 @@
         in.promised = promisedEnd(in, row);
         row.asked += 1;
         readLately_ += 1;
-        if (in.work > 0) row.work += (in.work - row.work) * 0.05;
+        // The first hint stands for the mean: a mean that grows from nothing makes every early command look huge.
+        if (in.work > 0) row.work += (in.work - row.work) * (row.work > 0 ? 0.05 : 1.0);
         if (in.customer >= 0) customers_[in.customer] += 1;
         heldKb_ += in.kb;
         const auto at = table_.emplace(command.id, in).first;
