Strain of running ages is weighed against a prior of usual runs

One long command read as a slow machine on nearly idle nodes, which then bounced all they read. Could hurt where a machine hangs at once.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -173,7 +173,8 @@
         in.promised = promisedEnd(in, row);
         row.asked += 1;
         readLately_ += 1;
-        // The first hint stands for the mean: a mean that grows from nothing makes every early command look huge.
+        // The first hint stands for the mean: a mean that grows from nothing makes every early command look
+        // huge.
         if (in.work > 0) row.work += (in.work - row.work) * (row.work > 0 ? 0.05 : 1.0);
         if (in.customer >= 0) customers_[in.customer] += 1;
         heldKb_ += in.kb;
@@ -339,6 +340,12 @@
         return onCores(in, row) + std::max(0.0, row.whole - row.onCores);
     }
 
+    double meanOnCores() const {
+        double sum = 0;
+        for (const ProfileRow& row : profiles_) sum += row.onCores;
+        return sum / static_cast<double>(profiles_.size());
+    }
+
     // What handling a command in time adds to the goal: its earnings, and more while its profile is the one
     // that fares worst here. A customer believed beyond its share is worth what its excess is.
     double worth(const InHand& in) const {
@@ -370,9 +377,7 @@
         };
         std::vector<Entry> kept;
         std::vector<CommandId> out;
-        double mean = 0;
-        for (const ProfileRow& row : profiles_) mean += row.onCores / static_cast<double>(profiles_.size());
-        double ahead = -std::max(0.0, limit_ - onCores_) * mean * strain_;
+        double ahead = -std::max(0.0, limit_ - onCores_) * meanOnCores() * strain_;
         const double callPace = terms_.below == Below::Shared ? callTime_ / callCap_ : 0;
         double calls = static_cast<double>(atCalls_.size()) * callPace;
         for (const auto& [due, id] : hold_) {
@@ -607,7 +612,10 @@
             age += in.onCores + seconds(now_ - in.since);
             usual += profiles_[in.profile].onCores;
         }
-        strain_ = usual > 0 ? std::clamp(age / usual, 1.0, 10.0) : 1.0;
+        // A few runs tell little (one long command is no slow machine): they weigh against as many usual ones
+        // as there are cores. Runs in progress are on average as old as runs take when these vary as usual.
+        const double prior = terms_.cores * meanOnCores();
+        strain_ = std::clamp((age + prior) / (usual + prior), 1.0, 10.0);
         tellCallers();
         nextPulse_ = now_ + kPulse;
         out_->wakeAfter(kPulse);
