--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,7 +42,10 @@
 constexpr double kCallSafety = 0.85;        // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.2;          // part of it that is always used when wanted
 constexpr double kCrowdedCall = 2.0;        // calls taking this multiple of the usual mean a crowd below
-constexpr double kOverShare = 1.25;         // a customer's excess is believed past this multiple of its quota
+constexpr double kAdvice = 0.5;  // time to come back, as a part of the longest, for each part given up
+constexpr double kNowhere =
+    4.0;  // chance that a bounce asks not to be taken elsewhere, for each part given up
+constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
 Nanos nanos(double time) { return duration_cast<Nanos>(duration<double>(time)); }
@@ -272,11 +275,15 @@
         InHand& in = at->second;
         const CommandId id = at->first;
         if (!in.ran && in.phase == Phase::Held) {
-            if (terms_.comeBackAllowed && comeBack == 0ns && pressure_ > 0.1)
-                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, pressure_) * draw());
+            // Jittered by a half, so that callers told at once do not come back at once.
+            if (comeBack == 0ns)
+                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, kAdvice * pressure_) *
+                                 (0.5 + 0.5 * draw()));
             comeBack = terms_.comeBackAllowed ? std::min(comeBack, terms_.longestComeBack) : 0ns;
-            // A further try that is turned away here too has met a fleet that is full.
-            const bool nowhereElse = terms_.marksRetry ? in.again : draw() < pressure_ - 0.2;
+            // A fleet that is full reads, for nothing, what its callers take from one to the next: a further
+            // try that is bounced here too, and first ones in step with what is given up, are asked not to go
+            // on.
+            const bool nowhereElse = in.again || draw() < kNowhere * pressure_;
             out_->bounce(id, comeBack, nowhereElse);
             if (in.entry) {
                 out_->forget(id);
