The line at the calls is thinned by earnings, level off

Cause: with the shared database slow, commands parked at calls were served by due time and all came late, filled the crowd that may run, and kept out profiles that call nothing; the level turned away the same profiles at the sidecars long after.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -136,8 +136,9 @@
         for (const CommandId id : round.callersLeft) callerLeft(id);
         if (round.gauges) gauge(*round.gauges);
         answerOverdue();
-        thinHold();
+        thinCalls();
         serveCalls();
+        thinHold();
         startHeld();
         if (now_ >= nextPulse_) pulse();
     }
@@ -385,8 +386,8 @@
         std::vector<Entry> kept;
         std::vector<CommandId> out;
         double ahead = -std::max(0.0, limit_ - onCores_) * meanOnCores() * strain_;
-        const double callPace = terms_.below == Below::Shared ? callTime_ / callCap_ : 0;
-        double calls = static_cast<double>(atCalls_.size()) * callPace;
+        const double callPace = this->callPace();
+        double calls = callsAhead_ * callPace;
         for (const auto& [due, id] : hold_) {
             const InHand& in = table_.at(id);
             const ProfileRow& row = profiles_[in.profile];
@@ -544,6 +545,32 @@
         out_->leaveOut(at->first);
     }
 
+    // Seconds between two calls that the cap lets out; a tier below sets no pace.
+    double callPace() const { return terms_.below == Below::Shared ? callTime_ / callCap_ : 0; }
+
+    // The line at the calls is thinned as the hold is: when what lies below gets slow, serving it by due time
+    // alone would handle all of it late. What earns least of those that can't be in time goes on without its
+    // call.
+    void thinCalls() {
+        const double pace = callPace();
+        if (pace <= 0 || atCalls_.empty()) return;
+        std::vector<std::pair<double, CommandId>> kept;
+        std::vector<CommandId> out;
+        for (const auto& [due, id] : atCalls_) {
+            const InHand& in = table_.at(id);
+            const ProfileRow& row = profiles_[in.profile];
+            const Nanos rest = nanos(callTime_ + 0.5 * onCores(in, row));
+            const bool late = now_ + rest > in.promised;
+            kept.emplace_back(worth(in) * (late ? row.terms.lateShare : 1), id);
+            const Nanos wait = nanos(pace * static_cast<double>(kept.size() - 1));
+            if (now_ + wait + rest <= (late ? in.answerBy : in.promised)) continue;
+            const auto least = std::min_element(kept.begin(), kept.end());
+            out.push_back(least->second);
+            kept.erase(least);
+        }
+        for (const CommandId id : out) withoutCall(table_.find(id));
+    }
+
     bool roomBelow() {
         while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         if (terms_.below != Below::Shared) return true;
@@ -580,6 +607,7 @@
             const Nanos patience = std::min(attemptTimeout_, (in.answerBy - now_) / 2);
             in.weak = patience < attemptTimeout_ / 2;
             in.phase = Phase::Calling;
+            in.since = now_;
             ++in.attempts;
             ++callsOut_;
             atCalls_.erase({due, id});
@@ -613,8 +641,13 @@
         if (terms_.callsOver > 0ns)
             meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
                         std::min(1.0, 2 * passed / seconds(terms_.callsOver));
-        double age = 0, usual = 0;
+        double age = 0, usual = 0, callAge = 0;
+        callsAhead_ = 0;
         for (const auto& [id, in] : table_) {
+            if (in.phase == Phase::Calling) callAge += seconds(now_ - in.since) / callsOut_;
+            if (!in.answered && in.phase != Phase::Held && in.phase != Phase::Joined)
+                callsAhead_ +=
+                    in.phase == Phase::AtCall ? 1 : std::max(0.0, profiles_[in.profile].calls - in.calls);
             if (in.phase != Phase::Running) continue;
             age += in.onCores + seconds(now_ - in.since);
             usual += profiles_[in.profile].onCores;
@@ -623,6 +656,8 @@
         // as there are cores. Runs in progress are on average as old as runs take when these vary as usual.
         const double prior = terms_.cores * meanOnCores();
         strain_ = std::clamp((age + prior) / (usual + prior), 1.0, 10.0);
+        // Calls that are out longer than calls take tell of a slow dependency before any of them is back.
+        callTime_ = std::max(callTime_, callAge);
         tellCallers();
         nextPulse_ = now_ + kPulse;
         out_->wakeAfter(kPulse);
@@ -641,7 +676,7 @@
         if (terms_.freeValue == FreeValue::Share) {
             value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
         } else if (terms_.freeValue == FreeValue::Level) {
-            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0, 0.5);
+            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0, 0.0);
         }
         if (value == told_) return;
         told_ = value;
@@ -683,7 +718,7 @@
 
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
-    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
+    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callsAhead_ = 0, callCap_ = 1, meanOut_ = 0;
 };
 
 }  // namespace
