Before a held command stand only those calls that are due earlier; cap floor 0.5

Told from a slow machine by times on the cores staying flat. Could hurt where calls in progress are long against promised times.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -39,9 +39,9 @@
 constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
 constexpr double kCrowd = 1.15;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
-constexpr double kCallSafety = 0.85;        // part of our share of the dependency that is ever used
-constexpr double kCallFloor = 0.2;          // part of it that is always used when wanted
-constexpr double kCrowdedCall = 2.0;        // calls taking this multiple of the usual mean a crowd below
+constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
+constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
+constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
 constexpr double kAdvice = 0.5;  // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere =
     4.0;  // chance that a bounce asks not to be taken elsewhere, for each part given up
@@ -387,8 +387,11 @@
         std::vector<CommandId> out;
         double ahead = -std::max(0.0, limit_ - onCores_) * meanOnCores() * strain_;
         const double callPace = this->callPace();
-        double calls = callsAhead_ * callPace;
+        // Calls are served by due time, so only what is due earlier stands before a command there.
+        double calls = 0;
+        auto under = callers_.begin();
         for (const auto& [due, id] : hold_) {
+            for (; under != callers_.end() && under->first <= due; ++under) calls += under->second * callPace;
             const InHand& in = table_.at(id);
             const ProfileRow& row = profiles_[in.profile];
             const double cost = onCores(in, row), all = whole(in, row);
@@ -642,12 +645,11 @@
             meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
                         std::min(1.0, 2 * passed / seconds(terms_.callsOver));
         double age = 0, usual = 0, callAge = 0;
-        callsAhead_ = 0;
+        callers_.clear();
         for (const auto& [id, in] : table_) {
             if (in.phase == Phase::Calling) callAge += seconds(now_ - in.since) / callsOut_;
-            if (!in.answered && in.phase != Phase::Held && in.phase != Phase::Joined)
-                callsAhead_ +=
-                    in.phase == Phase::AtCall ? 1 : std::max(0.0, profiles_[in.profile].calls - in.calls);
+            const double more = in.phase == Phase::AtCall ? 1 : profiles_[in.profile].calls - in.calls;
+            if (!in.answered && in.ran && more > 0) callers_.emplace_back(in.due, more);
             if (in.phase != Phase::Running) continue;
             age += in.onCores + seconds(now_ - in.since);
             usual += profiles_[in.profile].onCores;
@@ -655,6 +657,7 @@
         // A few runs tell little (one long command is no slow machine): they weigh against as many usual ones
         // as there are cores. Runs in progress are on average as old as runs take when these vary as usual.
         const double prior = terms_.cores * meanOnCores();
+        std::sort(callers_.begin(), callers_.end());
         strain_ = std::clamp((age + prior) / (usual + prior), 1.0, 10.0);
         // Calls that are out longer than calls take tell of a slow dependency before any of them is back.
         callTime_ = std::max(callTime_, callAge);
@@ -708,7 +711,9 @@
     std::set<std::pair<Nanos, CommandId>> atCalls_;  // waiting for a call or its repeat; emptied by both
     std::set<std::pair<Nanos, CommandId>> overdue_;  // unanswered, by when they must be; emptied by answers
     std::set<std::pair<Nanos, CommandId>> entries_;  // kept tags, by their end; emptied by time
-    std::multiset<Nanos> lingering_;                 // abandoned calls, by their end; emptied by time
+    std::vector<std::pair<Nanos, double>>
+        callers_;                     // calls that runs will still make, by due time; each pulse's
+    std::multiset<Nanos> lingering_;  // abandoned calls, by their end; emptied by time
 
     int onCores_ = 0, running_ = 0, callsOut_ = 0;
     double heldKb_ = 0, runningKb_ = 0;
@@ -718,7 +723,7 @@
 
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
-    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callsAhead_ = 0, callCap_ = 1, meanOut_ = 0;
+    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
 };
 
 }  // namespace
