Runs cut off by hard stop or caller teach the pace; one probe runs on idle cores

Covers slow, hanging and stalled machines. Could hurt where hard stops cut many runs of a healthy one.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -301,6 +301,16 @@
     void endedUnhandled(Table::iterator at) {
         InHand& in = at->second;
         in.answered = true;
+        // A run cut off by its hard stop or its caller took at least this long: on a machine that is slow or
+        // hangs no other run may ever end, and what is learned from ends alone would stay at the old pace.
+        if (in.phase == Phase::Running) {
+            ProfileRow& row = profiles_[in.profile];
+            const double sofar = in.onCores + seconds(now_ - in.since);
+            if (sofar > row.onCores) {
+                row.whole += (sofar - row.onCores) * 0.1;
+                row.onCores += (sofar - row.onCores) * 0.1;
+            }
+        }
         overdue_.erase({in.answerBy, at->first});
         atCalls_.erase({in.due, at->first});
         if (in.phase == Phase::Running && terms_.halting != Halting::Never) out_->halt(at->first);
@@ -400,7 +410,10 @@
             if (now_ + nanos(0.7 * all) > latest) {
                 value *= row.terms.lateShare;
                 latest = in.answerBy;
-                if (value <= 0 || now_ + nanos(0.7 * all) > latest) {
+                // With nothing on the cores one goes all the same: only a run can tell that the machine is
+                // well again.
+                const bool probe = onCores_ == 0 && kept.empty() && now_ < in.promised;
+                if (!probe && (value <= 0 || now_ + nanos(0.7 * all) > latest)) {
                     out.push_back(id);
                     continue;
                 }
