--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,9 +42,9 @@
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
-constexpr double kAdvice = 0.5;  // time to come back, as a part of the longest, for each part given up
-constexpr double kNowhere =
-    4.0;  // chance that a bounce asks not to be taken elsewhere, for each part given up
+constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
+constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
+constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -177,6 +177,7 @@
         in.promised = promisedEnd(in, row);
         row.asked += 1;
         readLately_ += 1;
+        unread_ += (seconds(command.waited) / seconds(row.terms.promised) - unread_) * 0.1;
         // The first hint stands for the mean: a mean that grows from nothing makes every early command look
         // huge.
         if (in.work > 0) row.work += (in.work - row.work) * (row.work > 0 ? 0.05 : 1.0);
@@ -276,10 +277,13 @@
         InHand& in = at->second;
         const CommandId id = at->first;
         if (!in.ran && in.phase == Phase::Held) {
-            // Jittered by a half, so that callers told at once do not come back at once.
-            if (comeBack == 0ns)
-                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, kAdvice * pressure_) *
+            // Jittered by a half, so that callers told at once do not come back at once. What waited long
+            // unread tells of a jam before the hold, which only callers that stay away can end.
+            if (comeBack == 0ns) {
+                const double jam = std::max(0.0, kJam * unread_ - 0.2);
+                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, kAdvice * pressure_ + jam) *
                                  (0.5 + 0.5 * draw()));
+            }
             comeBack = terms_.comeBackAllowed ? std::min(comeBack, terms_.longestComeBack) : 0ns;
             // A fleet that is full reads, for nothing, what its callers take from one to the next: a further
             // try that is bounced here too, and first ones in step with what is given up, are asked not to go
@@ -731,7 +735,7 @@
     int onCores_ = 0, running_ = 0, callsOut_ = 0;
     double heldKb_ = 0, runningKb_ = 0;
     double limit_ = 1, asking_ = 0, strain_ = 1;
-    double readLately_ = 0, shedLately_ = 0, pressure_ = 0;
+    double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
     Breaker breaker_;
