--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,6 +45,7 @@
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
+constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -395,9 +396,9 @@
         if (hold_.empty()) return;
         struct Entry {
             CommandId id;
-            double cost, calls, value;
+            double cost, density, calls;
         };
-        std::vector<Entry> kept, cheaper;
+        std::vector<Entry> kept;
         std::vector<CommandId> out;
         double ahead = -std::max(0.0, limit_ - onCores_) * meanOnCores() * strain_;
         const double callPace = this->callPace();
@@ -408,55 +409,36 @@
             for (; under != callers_.end() && under->first <= due; ++under) calls += under->second * callPace;
             const InHand& in = table_.at(id);
             const ProfileRow& row = profiles_[in.profile];
-            const double all = whole(in, row);
-            Entry entry{id, onCores(in, row), row.calls * callPace, worth(in)};
+            const double cost = onCores(in, row), all = whole(in, row);
+            double value = worth(in);
             Nanos latest = in.promised;
-            if (now_ + nanos(0.7 * all) > latest) {
-                entry.value *= row.terms.lateShare;
+            if (now_ + nanos(kCaution * all) > latest) {
+                value *= row.terms.lateShare;
                 latest = in.answerBy;
                 // With nothing on the cores one goes all the same: only a run can tell that the machine is
-                // well.
+                // well again.
                 const bool probe = onCores_ == 0 && kept.empty() && now_ < in.promised;
-                if (!probe && (entry.value <= 0 || now_ + nanos(0.7 * all) > latest)) {
+                if (!probe && (value <= 0 || now_ + nanos(kCaution * all) > latest)) {
                     out.push_back(id);
                     continue;
                 }
             }
-            const double room = seconds(latest - now_) - all;
-            const auto inTime = [&](double aheadOf, double callsOf) {
-                return std::max(aheadOf / limit_, callsOf + entry.calls) <= std::max(room, 0.0);
-            };
-            if (!inTime(ahead, calls)) {
-                // The cheapest before it go, if that makes room and they earn less together; else it goes
-                // itself.
-                cheaper.clear();
-                for (const Entry& other : kept)
-                    if (other.value * entry.cost < entry.value * other.cost) cheaper.push_back(other);
-                std::sort(cheaper.begin(), cheaper.end(), [](const Entry& one, const Entry& two) {
-                    return one.value * two.cost < two.value * one.cost;
-                });
-                double less = 0, fewer = 0, lost = 0;
-                std::size_t gone = 0;
-                while (gone < cheaper.size() && !inTime(ahead - less, calls - fewer)) {
-                    less += cheaper[gone].cost, fewer += cheaper[gone].calls, lost += cheaper[gone].value;
-                    ++gone;
-                }
-                if (lost >= entry.value || !inTime(ahead - less, calls - fewer)) {
-                    out.push_back(id);
-                    continue;
-                }
-                ahead -= less;
-                calls -= fewer;
-                cheaper.resize(gone);
-                for (const Entry& other : cheaper) out.push_back(other.id);
-                std::erase_if(kept, [&](const Entry& one) {
-                    return std::any_of(cheaper.begin(), cheaper.end(),
-                                       [&](const Entry& other) { return other.id == one.id; });
-                });
-            }
-            ahead += entry.cost;
-            calls += entry.calls;
-            kept.push_back(entry);
+            kept.push_back({id, cost, value / cost, row.calls * callPace});
+            ahead += cost;
+            calls += kept.back().calls;
+            const double wait = std::max(0.0, ahead / limit_ - cost / limit_);
+            if (now_ + nanos(std::max(wait, calls) + kCaution * all) <= latest) continue;
+            const bool callsBind = calls > wait;
+            auto least = kept.end();
+            for (auto entry = kept.begin(); entry != kept.end(); ++entry)
+                if ((!callsBind || entry->calls > 0) &&
+                    (least == kept.end() || entry->density < least->density))
+                    least = entry;
+            if (least == kept.end()) least = kept.end() - 1;
+            ahead -= least->cost;
+            calls -= least->calls;
+            out.push_back(least->id);
+            kept.erase(least);
         }
         for (const CommandId id : out) {
             shedLately_ += 1;
