--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,7 +45,7 @@
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
-constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
+constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -697,7 +697,8 @@
         if (terms_.freeValue == FreeValue::Share) {
             value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
         } else if (terms_.freeValue == FreeValue::Level) {
-            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0, 0.0);
+            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0,
+                               0.5 / static_cast<double>(profiles_.size()));
         }
         if (value == told_) return;
         told_ = value;
