--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,6 +46,7 @@
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
 constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
+constexpr double kFullHold = 0.1;    // part given up from which late runs are stopped
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -137,6 +138,7 @@
         for (const CommandId id : round.callersLeft) callerLeft(id);
         if (round.gauges) gauge(*round.gauges);
         answerOverdue();
+        if (round.gauges) stopLate();
         thinCalls();
         serveCalls();
         thinHold();
@@ -345,6 +347,16 @@
         endedUnhandled(at);
     }
 
+    // Where running work can be stopped, what is past its promised time makes room for what can still be in
+    // time.
+    void stopLate() {
+        if (terms_.halting == Halting::Never || hold_.empty() || pressure_ < kFullHold) return;
+        std::vector<CommandId> late;
+        for (const auto& [id, in] : table_)
+            if (in.phase == Phase::Running && !in.answered && now_ > in.promised) late.push_back(id);
+        for (const CommandId id : late) giveUp(table_.find(id));
+    }
+
     void answerOverdue() {
         while (!overdue_.empty() && overdue_.begin()->first <= now_ + kPulse) {
             giveUp(table_.find(overdue_.begin()->second));
