--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -46,7 +46,6 @@
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
 constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
-constexpr double kFullHold = 0.1;    // part given up from which late runs are stopped
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -138,7 +137,6 @@
         for (const CommandId id : round.callersLeft) callerLeft(id);
         if (round.gauges) gauge(*round.gauges);
         answerOverdue();
-        if (round.gauges) stopLate();
         thinCalls();
         serveCalls();
         thinHold();
@@ -178,13 +176,13 @@
         in.rank = command.rank;
         in.again = command.again;
         in.promised = promisedEnd(in, row);
-        row.asked += 1;
+        if (!command.again) row.asked += 1;  // a further try is not asked for anew
         readLately_ += 1;
         unread_ += (seconds(command.waited) / seconds(row.terms.promised) - unread_) * 0.1;
         // The first hint stands for the mean: a mean that grows from nothing makes every early command look
         // huge.
         if (in.work > 0) row.work += (in.work - row.work) * (row.work > 0 ? 0.05 : 1.0);
-        if (in.customer >= 0) customers_[in.customer] += 1;
+        if (in.customer >= 0 && !command.again) customers_[in.customer] += 1;
         heldKb_ += in.kb;
         const auto at = table_.emplace(command.id, in).first;
         setAnswerBy(at);
@@ -347,16 +345,6 @@
         endedUnhandled(at);
     }
 
-    // Where running work can be stopped, what is past its promised time makes room for what can still be in
-    // time.
-    void stopLate() {
-        if (terms_.halting == Halting::Never || hold_.empty() || pressure_ < kFullHold) return;
-        std::vector<CommandId> late;
-        for (const auto& [id, in] : table_)
-            if (in.phase == Phase::Running && !in.answered && now_ > in.promised) late.push_back(id);
-        for (const CommandId id : late) giveUp(table_.find(id));
-    }
-
     void answerOverdue() {
         while (!overdue_.empty() && overdue_.begin()->first <= now_ + kPulse) {
             giveUp(table_.find(overdue_.begin()->second));
