Tried: AttemptTimeout at other parts of the shortest promised time

A shared database answers soon or late; a tier's calls are work with long tails. So the figure has to follow what calls take.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,12 +33,11 @@
 constexpr Nanos kStall = 150ms;             // a pulse this late means that the process stood still
 constexpr Nanos kAnswerMargin = 30ms;       // answered this long before the hard stop
 constexpr Nanos kLeaveMargin = 150ms;       // answered this long before the process ends
-constexpr double kAttemptShare = 0.75;      // AttemptTimeout as a part of the shortest promised time
+constexpr double kAttemptShare = 0.35;      // AttemptTimeout as a part of the shortest promised time
 constexpr double kBackoffShare = 1.0 / 16;  // BackoffBase as a part of AttemptTimeout
-constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
+constexpr double kOpenShare = 2.0;          // OpenFor as a multiple of AttemptTimeout
 constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
-constexpr double kStartRuns = 1.5;          // runs for each core to begin with, and where nothing waits
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
@@ -648,7 +647,7 @@
         if (!hold_.empty() && onCores_ + 1 > limit_)
             limit_ += 0.02 * std::clamp(want - asking_, -want, want);
         else
-            limit_ += 0.005 * (kStartRuns * terms_.cores - limit_);
+            limit_ += 0.005 * (terms_.cores - limit_);
         limit_ = std::clamp(limit_, 0.5 * terms_.cores, 3.0 * terms_.cores);
     }
 
