AttemptTimeout follows what good calls take, within a quarter and half of a promised time

Cause: one fixed part of the promised time can't serve both a shared database (calls of 0.1 s, or hanging) and a tier whose calls are work with long tails. Covers a dependency that hangs or loses answers. Could hurt where calls vary by more than seven times their mean.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,13 +29,14 @@
 constexpr double kMemoryMark = 0.85;
 
 // Ours.
-constexpr Nanos kPulse = 20ms;              // gauges, due times and back-off ends are looked at this often
-constexpr Nanos kStall = 150ms;             // a pulse this late means that the process stood still
-constexpr Nanos kAnswerMargin = 30ms;       // answered this long before the hard stop
-constexpr Nanos kLeaveMargin = 150ms;       // answered this long before the process ends
-constexpr double kAttemptShare = 0.35;      // AttemptTimeout as a part of the shortest promised time
+constexpr Nanos kPulse = 20ms;         // gauges, due times and back-off ends are looked at this often
+constexpr Nanos kStall = 150ms;        // a pulse this late means that the process stood still
+constexpr Nanos kAnswerMargin = 30ms;  // answered this long before the hard stop
+constexpr Nanos kLeaveMargin = 150ms;  // answered this long before the process ends
+constexpr double kAttemptLeast = 0.25, kAttemptMost = 0.5;  // AttemptTimeout, of the shortest promised time
+constexpr double kAttemptCalls = 7.0;  // between those, as a multiple of what good calls take in the long run
 constexpr double kBackoffShare = 1.0 / 16;  // BackoffBase as a part of AttemptTimeout
-constexpr double kOpenShare = 2.0;          // OpenFor as a multiple of AttemptTimeout
+constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
 constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
@@ -118,7 +119,8 @@
             profiles_.push_back({profile, 0, guess, guess, profile.calls ? 1.0 : 0.0});
             if (profile.calls) shortest = std::min(shortest, profile.promised);
         }
-        attemptTimeout_ = shortest == Nanos::max() ? Nanos(1s) : nanos(seconds(shortest) * kAttemptShare);
+        shortest_ = shortest == Nanos::max() ? 1.0 : seconds(shortest);
+        attemptTimeout_ = nanos(shortest_ * kAttemptMost);
         limit_ = terms.cores;
         callCap_ = std::max(1.0, terms.callShare * 0.5);
         customers_.resize(terms.customers.size());
@@ -543,6 +545,13 @@
         if (good)
             usualCall_ =
                 usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
+        if (good) {
+            // In the long run: a dependency that gets slow must not stretch the time it is given at once.
+            goodCall_ += (took - goodCall_) * std::max(0.005, 1.0 / ++goodCalls_);
+            if (goodCalls_ >= kWindow)
+                attemptTimeout_ = nanos(std::clamp(kAttemptCalls * goodCall_, kAttemptLeast * shortest_,
+                                                   kAttemptMost * shortest_));
+        }
         if (terms_.below != Below::Shared || now_ < nextCap_) return;
         const double most = std::max(1.0, terms_.callShare * kCallSafety);
         if (callTime_ > kCrowdedCall * usualCall_) {
@@ -742,6 +751,7 @@
 
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
+    double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
     double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
 };
 
