Commands that came with little time of their own do not count as pressure

Cause: idle nodes of the tier below bounced calls that came with too little time and then asked callers for less.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -443,7 +443,9 @@
             kept.erase(least);
         }
         for (const CommandId id : out) {
-            shedLately_ += 1;
+            // What came with little time of its own is no sign that this backend is full.
+            const InHand& in = table_.at(id);
+            if (in.due - in.reached >= profiles_[in.profile].terms.promised / 2) shedLately_ += 1;
             giveUp(table_.find(id));
         }
     }
