--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,11 +43,10 @@
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
-constexpr double kAdvice = 0.5;    // time to come back, as a part of the longest, for each part given up
-constexpr double kNowhere = 4.0;   // chance of asking not to go elsewhere, for each part given up
-constexpr double kJam = 4.0;       // time to come back, for each promised time spent unread
-constexpr double kCaution = 0.75;  // how much of its usual time a held command must have after its wait
-constexpr double kLeaving = 0.2;  // part of callers leaving from which their leaving counts as their patience
+constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
+constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
+constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
+constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -222,8 +221,6 @@
         if (!in.again) row.firstLeft = std::max(left, row.firstLeft * 0.999);
         Nanos end = row.terms.promised + nanos(row.terms.promisedStretch * in.work);
         end = in.again && left < 0.97 * row.firstLeft ? in.due - row.terms.hardStop + end : in.reached + end;
-        // Callers that leave in numbers, before the time they told, are believed by what they do.
-        if (leaving_ > kLeaving) end = std::min(end, in.reached + nanos(leaveAge_));
         return std::min(end, in.due) - kPulse;
     }
 
@@ -346,9 +343,6 @@
     void callerLeft(CommandId id) {
         const auto at = table_.find(id);
         if (at == table_.end() || at->second.answered) return;
-        const InHand& in = at->second;
-        leftLately_ += 1;
-        leaveAge_ += (seconds(now_ - in.reached) - leaveAge_) * 0.1;
         if (at->second.phase == Phase::Held || at->second.phase == Phase::Joined) return drop(at);
         endedUnhandled(at);
     }
@@ -674,9 +668,8 @@
         const double slow = std::exp(-passed / kMemory), quick = std::exp(-passed);
         for (ProfileRow& row : profiles_) row.asked *= slow, row.got *= slow;
         for (double& customer : customers_) customer *= slow;
-        readLately_ *= quick, leftLately_ *= quick, shedLately_ *= quick;
+        readLately_ *= quick, shedLately_ *= quick;
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
-        leaving_ += (std::min(1.0, leftLately_ / std::max(1.0, readLately_)) - leaving_) * 0.1;
         if (terms_.callsOver > 0ns)
             meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
                         std::min(1.0, 2 * passed / seconds(terms_.callsOver));
@@ -755,7 +748,6 @@
     int onCores_ = 0, running_ = 0, callsOut_ = 0;
     double heldKb_ = 0, runningKb_ = 0;
     double limit_ = 1, asking_ = 0, strain_ = 1;
-    double leftLately_ = 0, leaving_ = 0, leaveAge_ = 1;
     double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
