--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,6 +41,8 @@
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
+constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
+constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
 constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
@@ -122,7 +124,7 @@
         shortest_ = shortest == Nanos::max() ? 1.0 : seconds(shortest);
         attemptTimeout_ = nanos(shortest_ * kAttemptMost);
         limit_ = terms.cores;
-        callCap_ = std::max(1.0, terms.callShare * 0.5);
+        callCap_ = terms.callShare * kCallFloor;
         customers_.resize(terms.customers.size());
     }
 
@@ -555,14 +557,14 @@
                                                    kAttemptMost * shortest_));
         }
         if (terms_.below != Below::Shared || now_ < nextCap_) return;
-        const double most = std::max(1.0, terms_.callShare * kCallSafety);
+        const double most = terms_.callShare * kCallSafety;
         if (callTime_ > kCrowdedCall * usualCall_) {
             callCap_ *= 0.9;
             nextCap_ = now_ + nanos(callTime_);
         } else {
             callCap_ += 0.5 / callCap_;
         }
-        callCap_ = std::clamp(callCap_, std::min(most, std::max(1.0, terms_.callShare * kCallFloor)), most);
+        callCap_ = std::clamp(callCap_, terms_.callShare * kCallFloor, most);
     }
 
     // The design fails a command whose call was rejected, or leaves the call out where its profile allows
@@ -578,7 +580,9 @@
     }
 
     // Seconds between two calls that the cap lets out; a tier below sets no pace.
-    double callPace() const { return terms_.below == Below::Shared ? callTime_ / callCap_ : 0; }
+    double callPace() const {
+        return terms_.below == Below::Shared ? callTime_ / std::max(callCap_, 0.01) : 0;
+    }
 
     // The line at the calls is thinned as the hold is: when what lies below gets slow, serving it by due time
     // alone would handle all of it late. What earns least of those that can't be in time goes on without its
@@ -607,9 +611,13 @@
         while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         if (terms_.below != Below::Shared) return true;
         const double inHands = callsOut_ + static_cast<double>(lingering_.size());
-        // A share below one call holds in the mean only.
-        if (terms_.callShare < 1 && meanOut_ > terms_.callShare * kCallSafety) return false;
-        return inHands + 1 <= callCap_;
+        // One call, or as many as the cap lets, never break our share; the rule counts the mean, so while
+        // calls are not crowded and that is low, twice the cap may be out for a moment instead of queueing
+        // all behind one call.
+        if (inHands + 1 <= std::max(callCap_, std::min(1.0, terms_.callShare))) return true;
+        const bool crowded = callTime_ > kCrowdedCall * usualCall_;
+        return inHands + 1 <= std::max(1.0, crowded ? callCap_ : kCallPeak * callCap_) &&
+               meanOut_ <= kPeakBelow * terms_.callShare;
     }
 
     void serveCalls() {
@@ -672,7 +680,7 @@
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
         if (terms_.callsOver > 0ns)
             meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
-                        std::min(1.0, 2 * passed / seconds(terms_.callsOver));
+                        std::min(1.0, 4 * passed / seconds(terms_.callsOver));
         double age = 0, usual = 0, callAge = 0;
         callers_.clear();
         for (const auto& [id, in] : table_) {
