--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -170,6 +170,41 @@
     EXPECT_GT(dear, 2 * cheap);
 }
 
+// A mean of told work that grew from nothing took a fresh node's first command for twenty times the usual.
+TEST(Hold, TheFirstHintStandsForTheMean) {
+    Machine m(plainTerms());
+    Round round;
+    round.read = {m.command(1)};
+    round.read[0].work = 300ms;
+    m.step(round);
+    EXPECT_EQ(m.starts, 1);
+}
+
+// Calls with little time of their own once made an idle backend call itself full.
+TEST(Hold, WhatCameWithLittleTimeIsNoOverload) {
+    Machine m(plainTerms());
+    for (CommandId id = 1; id <= 100; ++id) {
+        Round round;
+        round.read = {m.command(id, 0, 100ms), m.command(1000 + id, 0, 100ms)};
+        m.step(round);
+    }
+    EXPECT_GT(m.bounces, 50);
+    EXPECT_FALSE(m.logged("overload"));
+}
+
+// Only callers that stay away end a jam of commands that are read too late.
+TEST(Hold, AnUnreadJamAsksCallersToComeBackLater) {
+    Machine m(plainTerms());
+    for (CommandId id = 1; id <= 30; ++id) {
+        Round round;
+        round.read = {m.command(id)};
+        round.read[0].waited = 1950ms;
+        m.step(round);
+    }
+    EXPECT_GT(m.bounces, 10);
+    EXPECT_GT(m.comeBack, 400ms);
+}
+
 TEST(Leaving, NoticeTurnsHealthBadAndLateArrivalsAway) {
     Machine m(plainTerms());
     m.step();
