Clean-up of the module: one place each for core time, calls in hand and the crowd below

Time on the cores stood in three places, calls in the dependency's hands and the test for a crowd there in two each; a rank was kept and never read; good calls were learned in two blocks; a command was looked up twice.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,9 +41,9 @@
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
+constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
 constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
 constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
-constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
@@ -61,7 +61,7 @@
     int profile = 0, customer = -1;
     Phase phase = Phase::Held;
     Nanos due{0}, answerBy{0}, promised{0}, reached{0};
-    double kb = 0, rank = 0, work = 0;
+    double kb = 0, work = 0;
     bool again = false, answered = false, ran = false, entry = false, probe = false, weak = false;
     int attempts = 0;
     Nanos since{0}, readyAt{0};  // of the phase; end of the back-off
@@ -177,7 +177,6 @@
         in.due = command.due.value_or(in.reached + row.terms.hardStop);
         in.work = command.work ? seconds(*command.work) : 0;
         in.kb = command.heldKb;
-        in.rank = command.rank;
         in.again = command.again;
         in.promised = promisedEnd(in, row);
         if (!command.again) row.asked += 1;  // a further try is not asked for anew
@@ -306,6 +305,9 @@
         endedUnhandled(at);
     }
 
+    // Seconds on the cores so far, of a run that is on them.
+    double coreTime(const InHand& in) const { return in.onCores + seconds(now_ - in.since); }
+
     // Runs on without a caller: its end still has to come.
     void endedUnhandled(Table::iterator at) {
         InHand& in = at->second;
@@ -314,7 +316,7 @@
         // hangs no other run may ever end, and what is learned from ends alone would stay at the old pace.
         if (in.phase == Phase::Running) {
             ProfileRow& row = profiles_[in.profile];
-            const double sofar = in.onCores + seconds(now_ - in.since);
+            const double sofar = coreTime(in);
             if (sofar > row.onCores) {
                 row.whole += (sofar - row.onCores) * 0.1;
                 row.onCores += (sofar - row.onCores) * 0.1;
@@ -331,7 +333,7 @@
         InHand& in = at->second;
         ProfileRow& row = profiles_[in.profile];
         if (in.phase == Phase::Running && result.outcome == Outcome::Ok) {
-            const double onCores = in.onCores + seconds(now_ - in.since);
+            const double onCores = coreTime(in);
             const double weight = std::max(0.05, 1 / (row.seen += 1));
             row.onCores += (onCores - row.onCores) * weight;
             row.whole += (seconds(result.took) - row.whole) * weight;
@@ -446,9 +448,10 @@
         }
         for (const CommandId id : out) {
             // What came with little time of its own is no sign that this backend is full.
-            const InHand& in = table_.at(id);
+            const auto at = table_.find(id);
+            const InHand& in = at->second;
             if (in.due - in.reached >= profiles_[in.profile].terms.promised / 2) shedLately_ += 1;
-            giveUp(table_.find(id));
+            giveUp(at);
         }
     }
 
@@ -546,10 +549,9 @@
     // that all of us have too many out.
     void learnCallTime(double took, bool good) {
         callTime_ += (took - callTime_) * 0.1;
-        if (good)
+        if (good) {
             usualCall_ =
                 usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
-        if (good) {
             // In the long run: a dependency that gets slow must not stretch the time it is given at once.
             goodCall_ += (took - goodCall_) * std::max(0.005, 1.0 / ++goodCalls_);
             if (goodCalls_ >= kWindow)
@@ -558,7 +560,7 @@
         }
         if (terms_.below != Below::Shared || now_ < nextCap_) return;
         const double most = terms_.callShare * kCallSafety;
-        if (callTime_ > kCrowdedCall * usualCall_) {
+        if (crowdedBelow()) {
             callCap_ *= 0.9;
             nextCap_ = now_ + nanos(callTime_);
         } else {
@@ -607,16 +609,18 @@
         for (const CommandId id : out) withoutCall(table_.find(id));
     }
 
+    // Calls of ours in the dependency's hands, abandoned ones included.
+    double inHands() const { return callsOut_ + static_cast<double>(lingering_.size()); }
+    bool crowdedBelow() const { return callTime_ > kCrowdedCall * usualCall_; }
+
     bool roomBelow() {
         while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         if (terms_.below != Below::Shared) return true;
-        const double inHands = callsOut_ + static_cast<double>(lingering_.size());
         // One call, or as many as the cap lets, never break our share; the rule counts the mean, so while
         // calls are not crowded and that is low, twice the cap may be out for a moment instead of queueing
         // all behind one call.
-        if (inHands + 1 <= std::max(callCap_, std::min(1.0, terms_.callShare))) return true;
-        const bool crowded = callTime_ > kCrowdedCall * usualCall_;
-        return inHands + 1 <= std::max(1.0, crowded ? callCap_ : kCallPeak * callCap_) &&
+        if (inHands() + 1 <= std::max(callCap_, std::min(1.0, terms_.callShare))) return true;
+        return inHands() + 1 <= std::max(1.0, crowdedBelow() ? callCap_ : kCallPeak * callCap_) &&
                meanOut_ <= kPeakBelow * terms_.callShare;
     }
 
@@ -679,8 +683,7 @@
         readLately_ *= quick, shedLately_ *= quick;
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
         if (terms_.callsOver > 0ns)
-            meanOut_ += (callsOut_ + static_cast<double>(lingering_.size()) - meanOut_) *
-                        std::min(1.0, 4 * passed / seconds(terms_.callsOver));
+            meanOut_ += (inHands() - meanOut_) * std::min(1.0, 4 * passed / seconds(terms_.callsOver));
         double age = 0, usual = 0, callAge = 0;
         callers_.clear();
         for (const auto& [id, in] : table_) {
@@ -688,7 +691,7 @@
             const double more = in.phase == Phase::AtCall ? 1 : profiles_[in.profile].calls - in.calls;
             if (!in.answered && in.ran && more > 0) callers_.emplace_back(in.due, more);
             if (in.phase != Phase::Running) continue;
-            age += in.onCores + seconds(now_ - in.since);
+            age += coreTime(in);
             usual += profiles_[in.profile].onCores;
         }
         // A few runs tell little (one long command is no slow machine): they weigh against as many usual ones
