--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,6 +45,7 @@
 constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
 constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
+constexpr Nanos kIdle = 1s;
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
@@ -715,6 +716,7 @@
         }
         if (now_ < nextTold_) return;
         nextTold_ = now_ + 200ms;
+        out_->closeIdle(kIdle);
         double value = told_;
         if (terms_.freeValue == FreeValue::Share) {
             value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
