Idle connections are closed earlier while a full table keeps callers out and nothing is given up

Covers any fleet with many more callers than a table holds. Could hurt: connections that are used again late.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -45,7 +45,6 @@
 constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
 constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
-constexpr Nanos kIdle = 30s;
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
@@ -665,6 +664,8 @@
     // How many run is learned: as many as keep the cores asked for a little more than once, reading included.
     // Runs that wait for disk are seen only by what the gauge lacks.
     void gauge(const Gauges& gauges) {
+        links_ = gauges.connections.value_or(0);
+        if (links_ > mostLinks_) mostLinks_ = links_, mostLinksAt_ = now_;
         if (!gauges.onCores) return;
         asking_ += (*gauges.onCores - asking_) * 0.1;
         const double want = kCrowd * terms_.cores;
@@ -716,7 +717,7 @@
         }
         if (now_ < nextTold_) return;
         nextTold_ = now_ + 200ms;
-        out_->closeIdle(kIdle);
+        tendConnections();
         double value = told_;
         if (terms_.freeValue == FreeValue::Share) {
             value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
@@ -729,6 +730,22 @@
         out_->freeValue(value);
     }
 
+    // A table of connections that stays as full as it ever was, with fewer than there are callers, keeps callers
+    // out. While nothing is given up that starves idle cores, so connections are closed earlier; under pressure
+    // it is the cheapest bounce there is (no handshake, no reading), and they are kept.
+    void tendConnections() {
+        if (mostLinks_ >= 0.9 * terms_.senders || now_ - mostLinksAt_ < 1s) return;
+        const double before = idle_;
+        if (pressure_ > 0.1)
+            idle_ *= 1.1;
+        else if (links_ > 0.7 * mostLinks_)
+            idle_ *= 0.85;
+        else if (links_ < 0.5 * mostLinks_)
+            idle_ *= 1.03;
+        idle_ = std::clamp(idle_, 0.2, seconds(terms_.longestIdle));
+        if (idle_ != before) out_->closeIdle(nanos(idle_));
+    }
+
     double draw() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
 
     template <typename... Figures>
@@ -764,6 +781,8 @@
     double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
+    double links_ = 0, mostLinks_ = 0, idle_ = seconds(terms_.longestIdle);
+    Nanos mostLinksAt_{0};
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
     double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
--- a/src/logic.h
+++ b/src/logic.h
@@ -64,6 +64,7 @@
     Nanos longestComeBack{0};
     bool marksRetry = false;
     Nanos longestIdle{0};
+    int senders = 0;  // callers of this tier
 };
 
 struct Command {
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -178,6 +178,7 @@
     terms.callsOver = microsOr(mine, "calls_over_us", 0);
     terms.linger = microsOr(mine, "linger_us", 0);
     terms.longestIdle = microsOr(mine, "idle_us", 0);
+    terms.senders = valueOr(mine, "senders", 0);
     terms.drainGrace = microsOr(obligations, "drain_grace_us", 0);
     terms.fallMultiple = valueOr(obligations, "fall_multiple", 1.0);
     terms.fallOver = microsOr(obligations, "overload_for_us", 0);
