Calls still out weigh against one usual call, and only while they are out

Cause: a backend of two cores has one call out at a time; each that took long set the mean for seconds (the age of calls out was written into it), so that calls seemed to pass 2 to 4 times slower than they do (0.15 to 0.29 s against 0.045) and the hold gave up what it had room for. Told from a slow dependency by the tap: calls waited hardly and ended in 45 ms. Could hurt: a dependency that hangs is seen as slow a little later with few calls out.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -583,7 +583,7 @@
 
     // Seconds between two calls that the cap lets out; a tier below sets no pace.
     double callPace() const {
-        return terms_.below == Below::Shared ? callTime_ / std::max(callCap_, 0.01) : 0;
+        return terms_.below == Below::Shared ? callsNow_ / std::max(callCap_, 0.01) : 0;
     }
 
     // The line at the calls is thinned as the hold is: when what lies below gets slow, serving it by due time
@@ -597,7 +597,7 @@
         for (const auto& [due, id] : atCalls_) {
             const InHand& in = table_.at(id);
             const ProfileRow& row = profiles_[in.profile];
-            const Nanos rest = nanos(callTime_ + 0.5 * onCores(in, row));
+            const Nanos rest = nanos(callsNow_ + 0.5 * onCores(in, row));
             const bool late = now_ + rest > in.promised;
             kept.emplace_back(worth(in) * (late ? row.terms.lateShare : 1), id);
             const Nanos wait = nanos(pace * static_cast<double>(kept.size() - 1));
@@ -611,7 +611,7 @@
 
     // Calls of ours in the dependency's hands, abandoned ones included.
     double inHands() const { return callsOut_ + static_cast<double>(lingering_.size()); }
-    bool crowdedBelow() const { return callTime_ > kCrowdedCall * usualCall_; }
+    bool crowdedBelow() const { return callsNow_ > kCrowdedCall * usualCall_; }
 
     bool roomBelow() {
         while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
@@ -689,7 +689,7 @@
         double age = 0, usual = 0, callAge = 0;
         callers_.clear();
         for (const auto& [id, in] : table_) {
-            if (in.phase == Phase::Calling) callAge += seconds(now_ - in.since) / callsOut_;
+            if (in.phase == Phase::Calling) callAge += seconds(now_ - in.since);
             const double more = in.phase == Phase::AtCall ? 1 : profiles_[in.profile].calls - in.calls;
             if (!in.answered && in.ran && more > 0) callers_.emplace_back(in.due, more);
             if (in.phase != Phase::Running) continue;
@@ -701,8 +701,9 @@
         const double prior = terms_.cores * meanOnCores();
         std::sort(callers_.begin(), callers_.end());
         strain_ = std::clamp((age + prior) / (usual + prior), 1.0, 10.0);
-        // Calls that are out longer than calls take tell of a slow dependency before any of them is back.
-        callTime_ = std::max(callTime_, callAge);
+        // Calls that are out longer than calls take tell of a slow dependency before any of them is back. One
+        // long call is no slow dependency: they weigh against a usual one, and only while they are out.
+        callsNow_ = std::max(callTime_, (callAge + callTime_) / (callsOut_ + 1));
         tellCallers();
         nextPulse_ = now_ + kPulse;
         out_->wakeAfter(kPulse);
@@ -786,7 +787,7 @@
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
     double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
-    double tokens_ = kMaxTokens, callTime_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
+    double tokens_ = kMaxTokens, callTime_ = 0, callsNow_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
 };
 
 }  // namespace
