--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -673,7 +673,7 @@
             limit_ += 0.02 * std::clamp(want - asking_, -want, want);
         else
             limit_ += 0.005 * (terms_.cores - limit_);
-        limit_ = std::clamp(limit_, 1.0 * terms_.cores, 3.0 * terms_.cores);
+        limit_ = std::clamp(limit_, 0.5 * terms_.cores, 3.0 * terms_.cores);
     }
 
     void pulse() {
