Connections are closed early where the average caller comes back seldom, and kept above half given up

What matters is seen from the first second: callers of this tier (told at start) against commands read; one that comes back more seldom than connections live gains nothing by an open one. Covers any fleet whose callers outnumber what it is asked in half a minute. Could hurt: few callers with rare commands.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -48,6 +48,7 @@
 constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
+constexpr double kValve = 0.5;       // part given up above which connections are kept
 constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
 constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
 
@@ -664,8 +665,6 @@
     // How many run is learned: as many as keep the cores asked for a little more than once, reading included.
     // Runs that wait for disk are seen only by what the gauge lacks.
     void gauge(const Gauges& gauges) {
-        links_ = gauges.connections.value_or(0);
-        if (links_ > mostLinks_) mostLinks_ = links_, mostLinksAt_ = now_;
         if (!gauges.onCores) return;
         asking_ += (*gauges.onCores - asking_) * 0.1;
         const double want = kCrowd * terms_.cores;
@@ -731,19 +730,14 @@
         out_->freeValue(value);
     }
 
-    // A table of connections that stays as full as it ever was, with fewer than there are callers, keeps callers
-    // out. While nothing is given up that starves idle cores, so connections are closed earlier; under pressure
-    // it is the cheapest bounce there is (no handshake, no reading), and they are kept.
+    // Where the average caller comes back more seldom than connections live, an open one is hardly used again
+    // and only fills the table, which takes core time and keeps others out: they are closed early. Under
+    // pressure a full table is the cheapest bounce there is (no handshake, no reading), so they are kept.
     void tendConnections() {
-        if (mostLinks_ >= 0.9 * terms_.senders || now_ - mostLinksAt_ < 1s) return;
-        const double before = idle_;
-        if (pressure_ > 0.1)
-            idle_ *= 1.1;
-        else if (links_ > 0.7 * mostLinks_)
-            idle_ *= 0.85;
-        else if (links_ < 0.5 * mostLinks_)
-            idle_ *= 1.03;
-        idle_ = std::clamp(idle_, 0.2, seconds(terms_.longestIdle));
+        const double longest = seconds(terms_.longestIdle), before = idle_;
+        const bool seldom = readLately_ * longest < terms_.senders;
+        idle_ =
+            std::clamp(idle_ * (!seldom || pressure_ > kValve ? 1.1 : 0.9), std::min(1.0, longest), longest);
         if (idle_ != before) out_->closeIdle(nanos(idle_));
     }
 
@@ -782,8 +776,7 @@
     double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
-    double links_ = 0, mostLinks_ = 0, idle_ = seconds(terms_.longestIdle);
-    Nanos mostLinksAt_{0};
+    double idle_ = seconds(terms_.longestIdle);
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
     double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
