Calls out go down to a quarter of our share in the mean while crowded, not to half of it

Cause: our share is what the dependency survives, far above what it works best with; at half of all shares it was crowded and most calls timed out. A cap below one call now bounds the mean. Could hurt: a dependency that is slow without a crowd handles fewer calls than it could.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -41,7 +41,7 @@
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
-constexpr double kCallFloor = 0.5;          // part of it that is always used when wanted
+constexpr double kCallFloor = 0.25;         // part of it that is always used when wanted
 constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
 constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
 constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
@@ -565,7 +565,7 @@
             callCap_ *= 0.9;
             nextCap_ = now_ + nanos(callTime_);
         } else {
-            callCap_ += 0.5 / callCap_;
+            callCap_ += 0.05 * terms_.callShare;
         }
         callCap_ = std::clamp(callCap_, terms_.callShare * kCallFloor, most);
     }
@@ -620,9 +620,10 @@
         // One call, or as many as the cap lets, never break our share; the rule counts the mean, so while
         // calls are not crowded and that is low, twice the cap may be out for a moment instead of queueing
         // all behind one call.
-        if (inHands() + 1 <= std::max(callCap_, std::min(1.0, terms_.callShare))) return true;
-        return inHands() + 1 <= std::max(1.0, crowdedBelow() ? callCap_ : kCallPeak * callCap_) &&
-               meanOut_ <= kPeakBelow * terms_.callShare;
+        if (inHands() + 1 <= callCap_) return true;
+        const bool crowded = crowdedBelow();
+        return inHands() + 1 <= std::max(1.0, crowded ? callCap_ : kCallPeak * callCap_) &&
+               meanOut_ <= (crowded ? callCap_ : kPeakBelow * terms_.callShare);
     }
 
     void serveCalls() {
