--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -182,7 +182,6 @@
         in.promised = promisedEnd(in, row);
         if (!command.again) row.asked += 1;  // a further try is not asked for anew
         readLately_ += 1;
-        againLately_ += command.again;
         unread_ += (seconds(command.waited) / seconds(row.terms.promised) - unread_) * 0.1;
         // The first hint stands for the mean: a mean that grows from nothing makes every early command look
         // huge.
@@ -294,9 +293,7 @@
             // A fleet that is full reads, for nothing, what its callers take from one to the next: a further
             // try that is bounced here too, and first ones in step with what is given up, are asked not to go
             // on.
-            const double full = terms_.marksRetry ? againLately_ / std::max(1.0, readLately_) : pressure_;
-            const bool late = now_ + nanos(whole(in, profiles_[in.profile])) > in.promised;
-            const bool nowhereElse = late || draw() < 1.0 * full;
+            const bool nowhereElse = in.again || draw() < kNowhere * pressure_;
             out_->bounce(id, comeBack, nowhereElse);
             if (in.entry) {
                 out_->forget(id);
@@ -685,7 +682,7 @@
         const double slow = std::exp(-passed / kMemory), quick = std::exp(-passed);
         for (ProfileRow& row : profiles_) row.asked *= slow, row.got *= slow;
         for (double& customer : customers_) customer *= slow;
-        readLately_ *= quick, againLately_ *= quick, shedLately_ *= quick;
+        readLately_ *= quick, shedLately_ *= quick;
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
         if (terms_.callsOver > 0ns)
             meanOut_ += (inHands() - meanOut_) * std::min(1.0, 4 * passed / seconds(terms_.callsOver));
@@ -777,7 +774,7 @@
     int onCores_ = 0, running_ = 0, callsOut_ = 0;
     double heldKb_ = 0, runningKb_ = 0;
     double limit_ = 1, asking_ = 0, strain_ = 1;
-    double readLately_ = 0, againLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
+    double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
     double idle_ = seconds(terms_.longestIdle);
