--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -39,7 +39,6 @@
 constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
 constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
 constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
-constexpr double kBusy = 0.75;              // cores used less than this have room for another run
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.25;         // part of it that is always used when wanted
@@ -671,7 +670,7 @@
         asking_ += (*gauges.onCores - asking_) * 0.1;
         const double want = kCrowd * terms_.cores;
         if (!hold_.empty() && onCores_ + 1 > limit_)
-            limit_ += 0.02 * (gauges.coreUse.value_or(1) < kBusy ? want : std::clamp(want - asking_, -want, want));
+            limit_ += 0.02 * std::clamp(want - asking_, -want, want);
         else
             limit_ += 0.005 * (terms_.cores - limit_);
         limit_ = std::clamp(limit_, 0.5 * terms_.cores, 3.0 * terms_.cores);
