Calls above the cap are paid from what our share left unused: the slow dependency stands at full size

Each backend earns up to half of its share, a second's worth at most, and pays for calls in its hands, lingering ones included; one call beyond the cap needs something left. A long call is thus followed by a pause as long as it was dear, wherever a share is less than one call. Covers any dependency that hangs. Could hurt: fresh bursts of calls wait for what is earned.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -43,14 +43,14 @@
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.25;         // part of it that is always used when wanted
 constexpr double kCallPeak = 2.0;           // multiple of the cap that may be out for a moment
-constexpr double kPeakBelow = 0.5;          // part of our share below which the mean must be for that
-constexpr double kCrowdedCall = 3.0;        // calls taking this multiple of the usual mean a crowd below
-constexpr double kAdvice = 0.5;      // time to come back, as a part of the longest, for each part given up
-constexpr double kNowhere = 4.0;     // chance of asking not to go elsewhere, for each part given up
-constexpr double kJam = 4.0;         // time to come back, for each promised time spent unread
-constexpr double kValve = 0.5;       // part given up above which connections are kept
-constexpr double kCaution = 0.75;    // how much of its usual time a held command must have after its wait
-constexpr double kOverShare = 1.25;  // a customer's excess is believed past this multiple of its quota
+constexpr double kPeakBelow = 0.5;    // part of our share that is earned for that, a second's worth at most
+constexpr double kCrowdedCall = 3.0;  // calls taking this multiple of the usual mean a crowd below
+constexpr double kAdvice = 0.5;       // time to come back, as a part of the longest, for each part given up
+constexpr double kNowhere = 4.0;      // chance of asking not to go elsewhere, for each part given up
+constexpr double kJam = 4.0;          // time to come back, for each promised time spent unread
+constexpr double kValve = 0.5;        // part given up above which connections are kept
+constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
+constexpr double kOverShare = 1.25;   // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
 Nanos nanos(double time) { return duration_cast<Nanos>(duration<double>(time)); }
@@ -617,13 +617,12 @@
     bool roomBelow() {
         while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         if (terms_.below != Below::Shared) return true;
-        // One call, or as many as the cap lets, never break our share; the rule counts the mean, so while
-        // calls are not crowded and that is low, twice the cap may be out for a moment instead of queueing
-        // all behind one call.
+        // As many as the cap lets never break our share. The rule counts the mean, so more may be out for a
+        // moment, paid from what was left unused: a single call where our share is less than one, and while
+        // calls are not crowded twice the cap instead of queueing all behind one call.
         if (inHands() + 1 <= callCap_) return true;
-        const bool crowded = crowdedBelow();
-        return inHands() + 1 <= std::max(1.0, crowded ? callCap_ : kCallPeak * callCap_) &&
-               meanOut_ <= (crowded ? callCap_ : kPeakBelow * terms_.callShare);
+        return inHands() + 1 <= std::max(1.0, crowdedBelow() ? callCap_ : kCallPeak * callCap_) &&
+               unused_ > 0;
     }
 
     void serveCalls() {
@@ -684,8 +683,8 @@
         for (double& customer : customers_) customer *= slow;
         readLately_ *= quick, shedLately_ *= quick;
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
-        if (terms_.callsOver > 0ns)
-            meanOut_ += (inHands() - meanOut_) * std::min(1.0, 4 * passed / seconds(terms_.callsOver));
+        const double earned = std::min(callCap_, kPeakBelow * terms_.callShare);
+        unused_ = std::min(earned, unused_ + (earned - inHands()) * passed);
         double age = 0, usual = 0, callAge = 0;
         callers_.clear();
         for (const auto& [id, in] : table_) {
@@ -781,7 +780,8 @@
     Breaker breaker_;
     Nanos attemptTimeout_{0}, nextCap_{0};
     double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
-    double tokens_ = kMaxTokens, callTime_ = 0, callsNow_ = 0, usualCall_ = 0, callCap_ = 1, meanOut_ = 0;
+    double tokens_ = kMaxTokens, callTime_ = 0, callsNow_ = 0, usualCall_ = 0, callCap_ = 1;
+    double unused_ = 0;  // seconds of calls in hand that our share has left; below 0 what was borrowed
 };
 
 }  // namespace
