--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -555,7 +555,7 @@
                 usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
             // In the long run: a dependency that gets slow must not stretch the time it is given at once.
             goodCall_ += (took - goodCall_) * std::max(0.005, 1.0 / ++goodCalls_);
-            if (goodCalls_ >= kWindow)
+            if (goodCalls_ >= kTripInARow)
                 attemptTimeout_ = nanos(std::clamp(kAttemptCalls * goodCall_, kAttemptLeast * shortest_,
                                                    kAttemptMost * shortest_));
         }
