--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -555,7 +555,7 @@
                 usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
             // In the long run: a dependency that gets slow must not stretch the time it is given at once.
             goodCall_ += (took - goodCall_) * std::max(0.005, 1.0 / ++goodCalls_);
-            if (goodCalls_ >= kTripInARow)
+            if (goodCalls_ >= kWindow)
                 attemptTimeout_ = nanos(std::clamp(kAttemptCalls * goodCall_, kAttemptLeast * shortest_,
                                                    kAttemptMost * shortest_));
         }
@@ -736,8 +736,9 @@
     void tendConnections() {
         const double longest = seconds(terms_.longestIdle), before = idle_;
         const bool seldom = readLately_ * longest < terms_.senders;
-        idle_ =
-            std::clamp(idle_ * (!seldom || pressure_ > kValve ? 1.1 : 0.9), std::min(1.0, longest), longest);
+        idle_ = std::clamp(
+            idle_ * (!seldom || (pressure_ > kValve && asking_ > kCrowd * terms_.cores) ? 1.1 : 0.9),
+            std::min(1.0, longest), longest);
         if (idle_ != before) out_->closeIdle(nanos(idle_));
     }
 
