Connections are not kept under pressure while calls below are crowded

Cause: with a slow dependency most is bounced and cores are idle, but the part given up filled the tables, which kept callers out for 10 s after the trouble. Covers any pressure that is not of the cores. Could hurt: a tier below that is slow because all of us are full.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -736,9 +736,8 @@
     void tendConnections() {
         const double longest = seconds(terms_.longestIdle), before = idle_;
         const bool seldom = readLately_ * longest < terms_.senders;
-        idle_ = std::clamp(
-            idle_ * (!seldom || (pressure_ > kValve && asking_ > kCrowd * terms_.cores) ? 1.1 : 0.9),
-            std::min(1.0, longest), longest);
+        idle_ = std::clamp(idle_ * (!seldom || (pressure_ > kValve && !crowdedBelow()) ? 1.1 : 0.9),
+                           std::min(1.0, longest), longest);
         if (idle_ != before) out_->closeIdle(nanos(idle_));
     }
 
