After a time-out a random part of its time is paid again: backends do not call in step

Cause: all backends meet a slow dependency in the same moment, paid alike and came back alike: 131, 16, 51, 70 calls in hand in turn, 218 time-outs in 2 s at the crests. Covers any moment that starts all alike (a fall, a release). Could hurt: a single lost call makes one backend wait a little.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -512,6 +512,9 @@
         if (in.probe) breaker_.probing = in.probe = false;
         if (!ours) book(good);
         tokens_ = good ? std::min(kMaxTokens, tokens_ + kTokenRatio) : std::max(0.0, tokens_ - 1);
+        // All backends meet a slow dependency at once: those that wait for a random time do not come back as
+        // one.
+        if (timedOut) unused_ -= seconds(result.took) * draw();
         if (good || timedOut) learnCallTime(seconds(result.took), good);
         if (good) {
             in.phase = Phase::Running;
