--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,7 +38,7 @@
 constexpr double kBackoffShare = 1.0 / 16;  // BackoffBase as a part of AttemptTimeout
 constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
 constexpr double kStartMark = 0.95;         // memory a start may fill, above what gates arrivals
-constexpr double kCrowd = 1.6;             // what should ask for a core, by the gauge, for each core
+constexpr double kCrowd = 1.25;             // what should ask for a core, by the gauge, for each core
 constexpr double kCrowdSafety = 0.8;        // part of the survivable crowd that is ever used
 constexpr double kCallSafety = 0.8;         // part of our share of the dependency that is ever used
 constexpr double kCallFloor = 0.25;         // part of it that is always used when wanted
@@ -669,7 +669,7 @@
     // Runs that wait for disk are seen only by what the gauge lacks.
     void gauge(const Gauges& gauges) {
         if (!gauges.onCores) return;
-        asking_ += (*gauges.onCores - asking_) * 0.1;
+        asking_ += (std::min(*gauges.onCores, 2.0 * terms_.cores) - asking_) * 0.1;
         const double want = kCrowd * terms_.cores;
         if (!hold_.empty() && onCores_ + 1 > limit_)
             limit_ += 0.02 * std::clamp(want - asking_, -want, want);
