--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -48,7 +48,7 @@
 constexpr double kAdvice = 0.5;       // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;      // chance of asking not to go elsewhere, for each part given up
 constexpr double kJam = 4.0;          // time to come back, for each promised time spent unread
-constexpr double kValve = 1.1;        // part given up above which connections are kept
+constexpr double kValve = 0.5;        // part given up above which connections are kept
 constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
 constexpr double kOverShare = 1.25;   // a customer's excess is believed past this multiple of its quota
 
