Marked further tries count half of first ones when the hold is thinned

Cause: in a storm of repeats half of what is read are further tries. A first try that is bounced comes again, a handshake and a reading for each; a further one mostly does not. Covers any storm of marked repeats. Could hurt: one hot node among idle ones, whose callers were bounced there before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -47,10 +47,10 @@
 constexpr double kCrowdedCall = 3.0;  // calls taking this multiple of the usual mean a crowd below
 constexpr double kAdvice = 0.5;       // time to come back, as a part of the longest, for each part given up
 constexpr double kNowhere = 4.0;      // chance of asking not to go elsewhere, for each part given up
-constexpr double kSpare = 10;         // one in so many backends may be avoided at once without a loss
 constexpr double kJam = 4.0;          // time to come back, for each promised time spent unread
 constexpr double kValve = 0.5;        // part given up above which connections are kept
 constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
+constexpr double kFurther = 0.5;     // what a further try counts beside a first one
 constexpr double kOverShare = 1.25;   // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -286,13 +286,9 @@
             // Jittered by a half, so that callers told at once do not come back at once. What waited long
             // unread tells of a jam before the hold, which only callers that stay away can end.
             if (comeBack == 0ns) {
-                // A caller that goes by quick answers takes a bounce for one and comes again. Where one in
-                // ten of the backends at most would be avoided by a caller at once, all are told the longest
-                // time.
-                const double longest = seconds(terms_.longestComeBack);
-                const bool many = readLately_ * longest * kSpare < terms_.senders;
-                const double jam = many ? 1 : std::max(0.0, kJam * unread_ - 0.2);
-                comeBack = nanos(longest * std::min(1.0, kAdvice * pressure_ + jam) * (0.5 + 0.5 * draw()));
+                const double jam = std::max(0.0, kJam * unread_ - 0.2);
+                comeBack = nanos(seconds(terms_.longestComeBack) * std::min(1.0, kAdvice * pressure_ + jam) *
+                                 (0.5 + 0.5 * draw()));
             }
             comeBack = terms_.comeBackAllowed ? std::min(comeBack, terms_.longestComeBack) : 0ns;
             // A fleet that is full reads, for nothing, what its callers take from one to the next: a further
@@ -399,6 +395,7 @@
             const double over = rate > quota ? 1 - quota / rate : 0;
             value *= 1 - over * (1 - terms_.overShareWorth);
         }
+        if (in.again) value *= kFurther;
         return value * (terms_.earningsByWork && in.work > 0 ? in.work : 1);
     }
 
