A breaker for our own runs: a backend whose runs fail in a row bounces and reports bad health

Told from a sick dependency by calls that ended well in 30 ms, and from overload by core use of 0.66. The design's breaker, once more: 5 in a row or half of the last 20 open it, one run at a time is the probe, three good close it; meanwhile commands are bounced (not asked to stay) and health is bad. Covers any machine that answers wrongly or crashes its runs. Could hurt: one profile whose runs always fail takes the others with it for seconds.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -50,7 +50,8 @@
 constexpr double kJam = 4.0;          // time to come back, for each promised time spent unread
 constexpr double kValve = 0.5;        // part given up above which connections are kept
 constexpr double kCaution = 0.75;     // how much of its usual time a held command must have after its wait
-constexpr double kFurther = 0.5;     // what a further try counts beside a first one
+constexpr double kFurther = 0.5;      // what a further try counts beside a first one
+constexpr Nanos kSick = 5s;           // OpenFor of the breaker for our own runs
 constexpr double kOverShare = 1.25;   // a customer's excess is believed past this multiple of its quota
 
 double seconds(Nanos time) { return duration<double>(time).count(); }
@@ -210,6 +211,9 @@
             entries_.emplace(until, command.id);
             out_->keep(command.id, until - now_);
         }
+        if (runs_.state == Breaker::State::Open ||
+            (runs_.state == Breaker::State::HalfOpen && (running_ > 0 || !hold_.empty())))
+            return giveUp(at, terms_.longestComeBack);
         // A command that would meet an open breaker is turned away before it costs work.
         if (breaker_.state == Breaker::State::Open && row.terms.calls && row.terms.poorerShare <= 0) {
             return giveUp(at, breaker_.until - now_);
@@ -294,7 +298,8 @@
             // A fleet that is full reads, for nothing, what its callers take from one to the next: a further
             // try that is bounced here too, and first ones in step with what is given up, are asked not to go
             // on.
-            const bool nowhereElse = in.again || draw() < kNowhere * pressure_;
+            const bool nowhereElse =
+                runs_.state == Breaker::State::Closed && (in.again || draw() < kNowhere * pressure_);
             out_->bounce(id, comeBack, nowhereElse);
             if (in.entry) {
                 out_->forget(id);
@@ -341,11 +346,24 @@
             row.whole += (seconds(result.took) - row.whole) * weight;
             row.calls += (in.calls - row.calls) * weight;
         }
+        if (in.phase == Phase::Running && result.outcome != Outcome::Cancelled)
+            bookRun(result.outcome == Outcome::Ok);
         if (result.outcome == Outcome::Ok && !in.answered)
             row.got += now_ <= in.promised + kPulse ? 1 : row.terms.lateShare;
         drop(at);
     }
 
+    // Runs that fail by themselves, one after the other, tell that this backend is not well. Failing fast it
+    // would look quick, and draw callers; bounced instead, its commands may still be handled elsewhere. A
+    // breaker like that of the calls, with one run at a time as probe and health to match.
+    void bookRun(bool good) {
+        const bool open = runs_.state == Breaker::State::Open;
+        book(runs_, "run", good, kSick);
+        if (runs_.state != Breaker::State::Open || open) return;
+        out_->health(false);
+        while (!hold_.empty()) giveUp(table_.find(hold_.begin()->second), runs_.until - now_);
+    }
+
     void callerLeft(CommandId id) {
         const auto at = table_.find(id);
         if (at == table_.end() || at->second.answered) return;
@@ -512,7 +530,7 @@
         // of the dependency.
         const bool ours = timedOut && (now_ <= stalledUntil_ || in.weak);
         if (in.probe) breaker_.probing = in.probe = false;
-        if (!ours) book(good);
+        if (!ours) book(breaker_, "call", good, nanos(seconds(attemptTimeout_) * kOpenShare));
         tokens_ = good ? std::min(kMaxTokens, tokens_ + kTokenRatio) : std::max(0.0, tokens_ - 1);
         // All backends meet a slow dependency at once: those that wait for a random time do not come back as
         // one.
@@ -538,17 +556,23 @@
         }
     }
 
-    void book(bool good) {
-        const Breaker::State before = breaker_.state;
-        breaker_.book(good, now_, nanos(seconds(attemptTimeout_) * kOpenShare * (0.8 + 0.4 * draw())));
-        if (breaker_.state == before) return;
-        if (breaker_.state == Breaker::State::Closed)
-            log("breaker closed: %d good probes", kProbesToClose);
+    void book(Breaker& breaker, const char* what, bool good, Nanos openFor) {
+        const Breaker::State before = breaker.state;
+        breaker.book(good, now_, nanos(seconds(openFor) * (0.8 + 0.4 * draw())));
+        if (breaker.state == before) return;
+        if (breaker.state == Breaker::State::Closed)
+            log("%s breaker closed: %d good probes", what, kProbesToClose);
         else if (before == Breaker::State::HalfOpen)
-            log("breaker open again: a probe failed, %d good before", breaker_.inARow());
+            log("%s breaker open again: a probe failed, %d good before", what, breaker.inARow());
         else
-            log("breaker open: %d failures in a row, %d of the last %d", breaker_.inARow(), breaker_.failed(),
-                kWindow);
+            log("%s breaker open: %d failures in a row, %d of the last %d", what, breaker.inARow(),
+                breaker.failed(), kWindow);
+    }
+
+    void halfOpenWhenDue(Breaker& breaker, const char* what, std::size_t waiting) {
+        if (breaker.state != Breaker::State::Open || now_ < breaker.until) return;
+        breaker.halfOpen();
+        log("%s breaker half-open: %zu waiting", what, waiting);
     }
 
     // The dependency slows long before it falls: calls that take a multiple of what they usually take mean
@@ -631,10 +655,7 @@
     }
 
     void serveCalls() {
-        if (breaker_.state == Breaker::State::Open && now_ >= breaker_.until) {
-            breaker_.halfOpen();
-            log("breaker half-open: %zu at calls", atCalls_.size());
-        }
+        halfOpenWhenDue(breaker_, "call", atCalls_.size());
         const auto waiting = std::vector<std::pair<Nanos, CommandId>>(atCalls_.begin(), atCalls_.end());
         for (const auto& [due, id] : waiting) {
             const auto at = table_.find(id);
@@ -681,6 +702,8 @@
     }
 
     void pulse() {
+        if (runs_.state == Breaker::State::Open && now_ >= runs_.until) out_->health(!stopAt_);
+        halfOpenWhenDue(runs_, "run", hold_.size());
         const double passed = seconds(now_ - decayedAt_);
         decayedAt_ = now_;
         const double slow = std::exp(-passed / kMemory), quick = std::exp(-passed);
@@ -782,7 +805,7 @@
     double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
 
     double idle_ = seconds(terms_.longestIdle);
-    Breaker breaker_;
+    Breaker breaker_, runs_;  // of the calls below; of our own runs
     Nanos attemptTimeout_{0}, nextCap_{0};
     double shortest_ = 1, goodCall_ = 0, goodCalls_ = 0;
     double tokens_ = kMaxTokens, callTime_ = 0, callsNow_ = 0, usualCall_ = 0, callCap_ = 1;
