A dependency that hung is called again: one call goes with none out, and debts are paid back at half of our share

Cause, found by the new test: with calls believed to take a second and a share of less than one, the pace of calls gave up every command that calls, so no call was made and nothing ever told that they were quick again (one call in 30 s).

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -430,7 +430,9 @@
         double ahead = -std::max(0.0, limit_ - onCores_) * meanOnCores() * strain_;
         const double callPace = this->callPace();
         // Calls are served by due time, so only what is due earlier stands before a command there.
-        double calls = 0;
+        // With no call out or to come the first one has no wait: however slow calls seem, one must go, or
+        // nothing would ever tell that they are quick again.
+        double calls = unused_ > 0 && callsOut_ == 0 && atCalls_.empty() && callers_.empty() ? -callPace : 0;
         auto under = callers_.begin();
         for (const auto& [due, id] : hold_) {
             for (; under != callers_.end() && under->first <= due; ++under) calls += under->second * callPace;
@@ -639,6 +641,13 @@
         for (const CommandId id : out) withoutCall(table_.find(id));
     }
 
+    // Seconds of calls in hand that a second adds to what our share left unused. What was borrowed is paid
+    // back at half of our share, so that a call that hung is soon followed by the next.
+    double earned() const {
+        const double most = kPeakBelow * terms_.callShare;
+        return unused_ < 0 ? most : std::min(callCap_, most);
+    }
+
     // Calls of ours in the dependency's hands, abandoned ones included.
     double inHands() const { return callsOut_ + static_cast<double>(lingering_.size()); }
     bool crowdedBelow() const { return callsNow_ > kCrowdedCall * usualCall_; }
@@ -711,8 +720,7 @@
         for (double& customer : customers_) customer *= slow;
         readLately_ *= quick, shedLately_ *= quick;
         pressure_ += (std::min(1.0, shedLately_ / std::max(1.0, readLately_)) - pressure_) * 0.1;
-        const double earned = std::min(callCap_, kPeakBelow * terms_.callShare);
-        unused_ = std::min(earned, unused_ + (earned - inHands()) * passed);
+        unused_ = std::min(earned(), unused_ + (earned() - inHands()) * passed);
         double age = 0, usual = 0, callAge = 0;
         callers_.clear();
         for (const auto& [id, in] : table_) {
--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -149,6 +149,135 @@
     EXPECT_FALSE(m.logged("breaker open"));
 }
 
+// Where our share is less than one call, each long call must be followed by a pause: once all backends were
+// out for nearly their whole share at a time, lingering calls not counted, and the dependency fell.
+TEST(Calls, HangingCallsKeepToAShareOfLessThanOne) {
+    StartTerms terms = plainTerms();
+    terms.below = Below::Shared;
+    terms.callShare = 0.4;
+    std::vector<Nanos> called[2];
+    for (int seed = 0; seed < 2; ++seed) {
+        terms.seed = static_cast<std::uint64_t>(seed);
+        Machine m(terms);  // the model of the rules sums up what is in hand
+        for (CommandId id = 1; id <= 1500; ++id) {
+            Round round;
+            if (id % 10 == 0) round.read = {m.command(id)};
+            for (const auto& [other, w] : m.work)
+                if (w.at == Machine::At::Cores)
+                    round.parked.push_back(other);
+                else if (w.at == Machine::At::Below && m.now >= w.callEnds)
+                    round.callsBack.push_back({other, Outcome::TimedOut, 1s});
+            const int before = m.calls;
+            m.step(round);
+            if (m.calls > before) called[seed].push_back(m.now);
+        }
+        EXPECT_GE(m.calls, 2);  // and it never stops for good
+    }
+    EXPECT_NE(called[0], called[1]);  // and backends that met it together do not call in step
+}
+
+// One long call out once stood for all of them for seconds, and the hold gave up what it had room for.
+TEST(Calls, OneLongCallIsNoSlowDependency) {
+    StartTerms terms = plainTerms();
+    terms.below = Below::Shared;
+    terms.callShare = 0.4;
+    Machine m(terms);
+    CommandId id = 1;
+    for (int n = 0; n < 20; ++n) m.step();
+    for (; id <= 30; ++id) {
+        toCall(m, id);
+        ASSERT_EQ(m.work.at(id).at, Machine::At::Below);
+        back(m, id, Outcome::Ok);
+        end(m, id);
+        for (int n = 0; n < 20; ++n) m.step();
+    }
+    toCall(m, id);
+    for (int n = 0; n < 15; ++n) m.step();
+    back(m, id, Outcome::Ok);
+    end(m, id);
+    Round round;
+    for (CommandId other = 100; other < 104; ++other) round.read.push_back(m.command(other));
+    m.step(round);
+    EXPECT_EQ(m.bounces, 0);
+}
+
+// A node that failed its runs in a millisecond looked quick to callers, and drew more of them.
+TEST(Runs, FailuresInARowBounceCommandsUntilProbesAreGood) {
+    Machine m(plainTerms());
+    const auto run = [&](CommandId id, Outcome outcome) {
+        Round round;
+        round.read = {m.command(id)};
+        m.step(round);
+        if (m.work.count(id) != 0U) end(m, id, outcome);
+    };
+    for (CommandId id = 1; id <= 5; ++id) run(id, Outcome::Error);
+    EXPECT_TRUE(m.logged("run breaker open: 5 failures in a row"));
+    EXPECT_FALSE(m.good);
+    run(6, Outcome::Ok);
+    EXPECT_EQ(m.bounces, 1);
+    EXPECT_GT(m.comeBack, 500ms);
+    for (int n = 0; n < 320; ++n) m.step();
+    EXPECT_TRUE(m.good);
+    Round round;
+    round.read = {m.command(11), m.command(12)};
+    m.step(round);  // one at a time
+    EXPECT_EQ(m.bounces, 2);
+    end(m, 11);
+    run(13, Outcome::Ok);
+    run(14, Outcome::Ok);
+    EXPECT_TRUE(m.logged("run breaker closed"));
+}
+
+// Tables full of connections that nobody used again kept callers out and took core time; under pressure of
+// the cores they are the cheapest bounce.
+TEST(Connections, AreClosedEarlyWhereCallersComeBackSeldomAndKeptUnderPressure) {
+    StartTerms terms = plainTerms();
+    Machine few(terms);
+    terms.senders = 1000;
+    Machine many(terms);
+    for (CommandId id = 1; id <= 40; ++id)
+        for (Machine* m : {&few, &many}) {
+            toCall(*m, id);
+            back(*m, id, Outcome::Ok);
+            end(*m, id);
+            for (int n = 0; n < 7; ++n) m->step();
+        }
+    EXPECT_LT(few.idle, 0s);  // never told
+    EXPECT_EQ(many.idle, 1s);
+    for (CommandId id = 1000; id < 2000; id += 5) {
+        Round round;
+        for (CommandId n = 0; n < 5; ++n) round.read.push_back(many.command(id + n));
+        many.step(round);
+    }
+    EXPECT_GT(many.idle, 2s);
+}
+
+// A storm of repeats feeds on first tries that are bounced: they all come again.
+TEST(Hold, FurtherTriesGiveWayToFirstOnes) {
+    Machine m(plainTerms());
+    Round round;
+    for (CommandId id = 1; id <= 60; ++id) {
+        round.read.push_back(m.command(id));
+        round.read.back().again = id % 2 == 0;
+    }
+    m.step(round);
+    int first = 0, further = 0;
+    for (const auto& [id, w] : m.work) ++(w.command.again ? further : first);
+    EXPECT_GT(first, 2 * further);
+}
+
+// On two cores a burst of handshakes once held runs back for a second.
+TEST(Hold, ABurstOnTheCoresDoesNotHoldRunsBack) {
+    Machine m(plainTerms());
+    for (int n = 0; n < 100; ++n) {
+        Round round;
+        round.read = {m.command(static_cast<CommandId>(n + 1))};
+        m.asking = n % 5 == 0 ? 12.0 : 1.0;
+        m.step(round);
+    }
+    EXPECT_GE(m.on(Machine::At::Cores), 3);
+}
+
 TEST(Hold, StartsByDueTime) {
     Machine m(plainTerms());
     Round round;
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -40,6 +40,7 @@
     terms.linger = 200ms;
     terms.comeBackAllowed = true;
     terms.longestComeBack = 1s;
+    terms.longestIdle = 30s;
     terms.marksRetry = true;
     return terms;
 }
@@ -72,6 +73,9 @@
     std::map<CommandId, Nanos> kept;
     std::vector<std::string> logs, broken;
     std::vector<double> crowd, below;
+    std::vector<Nanos> lingering;
+    Nanos idle{-1};
+    std::optional<double> asking;  // what the gauge says, where it is not what runs
     int starts = 0, bounces = 0, scraps = 0, calls = 0, out = 0, leftOut = 0;
     bool good = false;
 
@@ -88,7 +92,7 @@
         now += passed;
         round.now = now;
         if (wake >= 0ns && now >= wake && !round.gauges) {
-            round.gauges = Gauges{0.5, static_cast<double>(on(At::Cores)), 0.1, 3.0};
+            round.gauges = Gauges{0.5, asking.value_or(on(At::Cores)), 0.1, 3.0};
             wake = -1ns;
         }
         if (round.stopAt && noticeAt < 0ns) noticeAt = now, stopAt = *round.stopAt;
@@ -100,6 +104,7 @@
         }
         for (const Result& r : round.callsBack) {
             Work& w = work.at(r.id);
+            if (r.outcome == Outcome::TimedOut) lingering.push_back(now + terms.linger);
             w.at = r.outcome == Outcome::Ok ? At::Cores : At::Call;
             w.lastCallNeverRan = r.outcome == Outcome::Full || r.outcome == Outcome::Unreachable;
             if (r.outcome == Outcome::Ok) w.calledBefore = false;
@@ -150,7 +155,8 @@
             const double warm = std::min(1.0, terms.startCapacity + (now - born) / (1.0 * terms.rampTime));
             rule(mean <= terms.cores * (1 + (terms.fallMultiple - 1) * (terms.cold ? warm : 1)), "crowd");
         }
-        below.push_back(out);
+        std::erase_if(lingering, [&](Nanos until) { return until <= now; });
+        below.push_back(out + static_cast<double>(lingering.size()));
         const auto window = static_cast<std::size_t>(terms.callsOver / 20ms);
         if (terms.below == Below::Shared && below.size() >= window)
             rule(std::accumulate(below.end() - static_cast<long>(window), below.end(), 0.0) <=
@@ -221,7 +227,7 @@
     void freeValue(double) override {
         rule(terms.freeValue != FreeValue::None, "free value against the terms");
     }
-    void closeIdle(Nanos) override {}
+    void closeIdle(Nanos unusedFor) override { idle = unusedFor; }
     void wakeAfter(Nanos wait) override { wake = now + wait; }
     void log(std::string_view line) override { logs.emplace_back(line); }
     bool logged(std::string_view word) const {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -24,7 +24,8 @@
     terms.halting = static_cast<Halting>(upTo(2));
     terms.freeValue = static_cast<FreeValue>(upTo(3));
     terms.below = static_cast<Below>(1 + upTo(1));
-    terms.callShare = 0.5 + upTo(3);
+    terms.callShare = 0.4 + 0.6 * upTo(5);
+    terms.senders = upTo(2) * 500;
     if (oneIn(3)) terms.customers = {{5}, {10}};
     return terms;
 }
