--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -754,13 +754,8 @@
         if (now_ < nextTold_) return;
         nextTold_ = now_ + 200ms;
         tendConnections();
-        double value = told_;
-        if (terms_.freeValue == FreeValue::Share) {
-            value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
-        } else if (terms_.freeValue == FreeValue::Level) {
-            value = std::clamp(told_ + (pressure_ > 0.05 ? 0.1 * pressure_ : -0.02), 0.0,
-                               0.5 / static_cast<double>(profiles_.size()));
-        }
+        if (terms_.freeValue != FreeValue::Share) return;
+        const double value = std::clamp(told_ + (pressure_ > 0.05 ? -0.1 * pressure_ : 0.02), 0.4, 1.0);
         if (value == told_) return;
         told_ = value;
         out_->freeValue(value);
@@ -810,7 +805,7 @@
     double heldKb_ = 0, runningKb_ = 0;
     double limit_ = 1, asking_ = 0, strain_ = 1;
     double readLately_ = 0, unread_ = 0, shedLately_ = 0, pressure_ = 0;
-    double told_ = terms_.freeValue == FreeValue::Share ? 1 : 0;
+    double told_ = 1;  // share of the usual traffic
 
     double idle_ = seconds(terms_.longestIdle);
     Breaker breaker_, runs_;  // of the calls below; of our own runs
