--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -165,6 +165,8 @@
             for (const auto& [other, w] : m.work)
                 if (w.at == Machine::At::Cores)
                     round.parked.push_back(other);
+                else if (w.at != Machine::At::Hold && w.answered)
+                    round.runsEnded.push_back({other, Outcome::Cancelled, 1s});
                 else if (w.at == Machine::At::Below && m.now >= w.callEnds)
                     round.callsBack.push_back({other, Outcome::TimedOut, 1s});
             const int before = m.calls;
