--- a/src/logic.h
+++ b/src/logic.h
@@ -43,7 +43,7 @@
     std::vector<CustomerTerms> customers;
     double overShareWorth = 1;
     bool earningsByWork = false;
-    double goalWhole = 1, goalWorstProfile = 0, goalWorstCustomer = 0;
+    double goalWhole = 1, goalWorstProfile = 0;
     int peers = 1;
     int cores = 1;
     bool cold = false;
@@ -52,7 +52,6 @@
     double memoryKb = 0, entryKb = 0, runFactor = 1;
     Halting halting = Halting::Never;
     FreeValue freeValue = FreeValue::None;
-    Nanos valueHeard{0};  // how long a caller minds a free value
     Below below = Below::Nothing;
     double callShare = 0;  // shared dependency: our part of the calls in its hands
     Nanos callsOver{0};
@@ -62,7 +61,6 @@
     Nanos fallOver{0};
     bool comeBackAllowed = false;
     Nanos longestComeBack{0};
-    bool marksRetry = false;
     Nanos longestIdle{0};
     int senders = 0;  // callers of this tier
 };
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -152,7 +152,6 @@
     terms.earningsByWork = valueOr<std::string>(all, "value_by", "request") == "work";
     terms.goalWhole = valueOr(goal, "whole", 1.0);
     terms.goalWorstProfile = valueOr(goal, "worst_class", 0.0);
-    terms.goalWorstCustomer = valueOr(goal, "worst_tenant", 0.0);
     terms.peers = valueOr(all, "peers_total", 1);
     terms.cores = valueOr(mine, "cores", 1);
     terms.cold = valueOr(mine, "cold", false);
@@ -170,7 +169,6 @@
                                          {"window", FreeValue::Window},
                                          {"share_of", FreeValue::Share}},
                                         FreeValue::None);
-    terms.valueHeard = microsOr(mine, "said_for_us", 0);
     terms.below = choice<Below>(mine, "below",
                                 {{"off", Below::Nothing}, {"shared", Below::Shared}, {"tier", Below::Tier}},
                                 Below::Nothing);
@@ -184,7 +182,6 @@
     terms.fallOver = microsOr(obligations, "overload_for_us", 0);
     terms.comeBackAllowed = valueOr(permissions, "retry_after", false);
     terms.longestComeBack = microsOr(permissions, "max_retry_after_us", 0);
-    terms.marksRetry = valueOr(part(all, "clients"), "marks_retry", false);
     return terms;
 }
 
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -41,7 +41,6 @@
     terms.comeBackAllowed = true;
     terms.longestComeBack = 1s;
     terms.longestIdle = 30s;
-    terms.marksRetry = true;
     return terms;
 }
 
