--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -571,10 +571,11 @@
                 breaker.failed(), kWindow);
     }
 
-    void halfOpenWhenDue(Breaker& breaker, const char* what, std::size_t waiting) {
-        if (breaker.state != Breaker::State::Open || now_ < breaker.until) return;
+    bool halfOpenWhenDue(Breaker& breaker, const char* what, std::size_t waiting) {
+        if (breaker.state != Breaker::State::Open || now_ < breaker.until) return false;
         breaker.halfOpen();
         log("%s breaker half-open: %zu waiting", what, waiting);
+        return true;
     }
 
     // The dependency slows long before it falls: calls that take a multiple of what they usually take mean
@@ -711,8 +712,7 @@
     }
 
     void pulse() {
-        if (runs_.state == Breaker::State::Open && now_ >= runs_.until) out_->health(!stopAt_);
-        halfOpenWhenDue(runs_, "run", hold_.size());
+        if (halfOpenWhenDue(runs_, "run", hold_.size())) out_->health(!stopAt_);
         const double passed = seconds(now_ - decayedAt_);
         decayedAt_ = now_;
         const double slow = std::exp(-passed / kMemory), quick = std::exp(-passed);
