Abandoned calls leave the books when they end, not when the next call is asked for

Found on reading the change again: the pulse paid for lingering calls that were only struck out while a command waited at a call; with none waiting one abandoned call ran up a debt without end.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -143,6 +143,8 @@
         for (const Result& result : round.runsEnded) runEnded(result);
         for (const CommandId id : round.callersLeft) callerLeft(id);
         if (round.gauges) gauge(*round.gauges);
+        // Here, as the share pays for them also while nothing waits at a call.
+        while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         answerOverdue();
         thinCalls();
         serveCalls();
@@ -654,7 +656,6 @@
     bool crowdedBelow() const { return callsNow_ > kCrowdedCall * usualCall_; }
 
     bool roomBelow() {
-        while (!lingering_.empty() && *lingering_.begin() <= now_) lingering_.erase(lingering_.begin());
         if (terms_.below != Below::Shared) return true;
         // As many as the cap lets never break our share. The rule counts the mean, so more may be out for a
         // moment, paid from what was left unused: a single call where our share is less than one, and while
