--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -203,6 +203,22 @@
     EXPECT_EQ(m.bounces, 0);
 }
 
+// An abandoned call that nobody struck out, as no command waited at a call, was paid for without end.
+TEST(Calls, AnAbandonedCallIsPaidForOnce) {
+    StartTerms terms = plainTerms();
+    terms.below = Below::Shared;
+    terms.callShare = 0.4;
+    Machine m(terms);
+    for (int n = 0; n < 20; ++n) m.step();
+    toCall(m, 1, 2);
+    for (int n = 0; n < 50; ++n) m.step();
+    back(m, 1, Outcome::TimedOut);
+    end(m, 1);
+    for (int n = 0; n < 1000; ++n) m.step();
+    toCall(m, 2, 2);
+    EXPECT_EQ(m.calls, 2);
+}
+
 // A node that failed its runs in a millisecond looked quick to callers, and drew more of them.
 TEST(Runs, FailuresInARowBounceCommandsUntilProbesAreGood) {
     Machine m(plainTerms());
