--- /dev/null
+++ b/src/backend/backend.h
@@ -0,0 +1,162 @@
+// The owner of a command from its reading to its answer. Gathers what came in during one turn of the loop,
+// has the module decide once, and carries out what it wrote. Knows no protocol: commands come in and answers
+// go out by a Door, runs and calls by the links below.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "logic.h"
+#include "net/loop.h"
+#include "report/counters.h"
+#include "report/log.h"
+
+namespace cottonwing::backend {
+
+// Where a command came from and its answer goes to; each takes one answer a command.
+class Door {
+public:
+    virtual ~Door() = default;
+    virtual void handled(CommandId id, std::string_view result) = 0;
+    virtual void bounced(CommandId id, Nanos comeBack, bool nowhereElse) = 0;
+    virtual void scrapped(CommandId id) = 0;
+    virtual void closeIdle(Nanos unusedFor) = 0;
+};
+
+// A command as a protocol brings it: name is its id as it was given.
+struct Arrival {
+    Command command;
+    std::string name, body;
+};
+
+// The link to what runs commands.
+class Runs {
+public:
+    virtual ~Runs() = default;
+    virtual void start(const std::string& name, int profile, std::string_view body) = 0;
+    virtual void halt(const std::string& name) = 0;
+    virtual void supply(const std::string& name, std::string_view reply) = 0;
+    virtual void askGauges() = 0;
+};
+
+// The link to the dependency.
+class Calls {
+public:
+    virtual ~Calls() = default;
+    virtual void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) = 0;
+    virtual void giveUp(CommandId id) = 0;
+};
+
+class Backend {
+public:
+    Backend(net::Loop& loop, const StartTerms& terms, report::Log& log, report::Counters& counters);
+
+    void joinLinks(Door& door, Runs& runs, Calls& calls) { door_ = &door, runs_ = &runs, calls_ = &calls; }
+    void onHealth(std::function<void(bool)> told) { healthTold_ = std::move(told); }
+
+    // From the door.
+    bool has(CommandId id) const { return table_.contains(id); }
+    void take(Arrival arrival);
+    void callerLeft(CommandId id);
+
+    // From the runs. up: the machine is there; it may be cold, and it started that long ago.
+    void up(bool cold, Nanos ago);
+    void parked(CommandId id, std::string callBody);
+    void runEnded(CommandId id, Outcome outcome, Nanos took, std::string_view result);
+    void gauges(const Gauges& gauges);
+
+    // From the calls.
+    void callEnded(CommandId id, Outcome outcome, Nanos took, std::string_view reply);
+
+    void leave(Nanos stopAt);
+    void turn();
+
+    bool well() const { return well_; }
+    std::optional<double> freeValue() const { return freeValue_; }
+    std::size_t unanswered() const { return unanswered_; }
+    std::size_t inHand() const { return table_.size(); }
+    // What is with the machine, said again on a new link.
+    void startAgain();
+
+private:
+    struct Owned {
+        std::string name, body, callBody, supplied;
+        int profile = 0;
+        bool answered = false, left = false, running = false, calling = false;
+        bool waiting() const { return !answered && !left; }
+    };
+    using Table = std::unordered_map<CommandId, Owned>;
+
+    struct Decision {
+        enum class Kind { Start, Bounce, Scrap, Halt, Call, Health, FreeValue, CloseIdle, Wake } kind;
+        CommandId id = 0;
+        Nanos time{0};
+        double value = 0;
+        bool yes = false;
+    };
+
+    // Keeps what the module writes until it is done.
+    class Gathered : public DecisionWriter {
+    public:
+        explicit Gathered(report::Log& log) : log_(log) {}
+        void start(CommandId id) override { all.push_back({Decision::Kind::Start, id}); }
+        void bounce(CommandId id, Nanos comeBack, bool nowhereElse) override {
+            all.push_back({Decision::Kind::Bounce, id, comeBack, 0, nowhereElse});
+        }
+        void scrap(CommandId id) override { all.push_back({Decision::Kind::Scrap, id}); }
+        void halt(CommandId id) override { all.push_back({Decision::Kind::Halt, id}); }
+        void call(CommandId id, Nanos patience) override {
+            all.push_back({Decision::Kind::Call, id, patience});
+        }
+        // No site that needs one of these four passes the start.
+        void leaveOut(CommandId) override { notCarried("leaveOut"); }
+        void keep(CommandId, Nanos) override { notCarried("keep"); }
+        void forget(CommandId) override { notCarried("forget"); }
+        void join(CommandId) override { notCarried("join"); }
+        void health(bool good) override { all.push_back({Decision::Kind::Health, 0, Nanos(0), 0, good}); }
+        void freeValue(double value) override {
+            all.push_back({Decision::Kind::FreeValue, 0, Nanos(0), value});
+        }
+        void closeIdle(Nanos unusedFor) override { all.push_back({Decision::Kind::CloseIdle, 0, unusedFor}); }
+        void wakeAfter(Nanos wait) override { all.push_back({Decision::Kind::Wake, 0, wait}); }
+        void log(std::string_view line) override { log_.info("module", line); }
+
+        std::vector<Decision> all;  // emptied by carrying them out
+
+    private:
+        void notCarried(const char* what) { log_.error("backend", what); }
+        report::Log& log_;
+    };
+
+    void carryOut(const Decision& decision);
+    void answered(Table::iterator at, report::Count kind);
+    void dropIfDone(Table::iterator at);
+    void ring();
+
+    const StartTerms terms_;
+    report::Log& log_;
+    report::Counters& counters_;
+    net::Timer alarm_;
+    Door* door_ = nullptr;
+    Runs* runs_ = nullptr;
+    Calls* calls_ = nullptr;
+    std::function<void(bool)> healthTold_;
+
+    std::unique_ptr<Decider> decider_;  // there once the machine is
+    Gathered gathered_;
+    Round round_;  // what came in since the last turn
+    bool fresh_ = false;
+    Nanos last_{0}, alarmAt_{0};
+    Gauges gauges_;
+    Nanos gaugesAt_{0};
+    bool well_ = false;
+    std::optional<double> freeValue_;
+    Table table_;  // emptied by answers, by ends of runs and by callers that leave
+    std::size_t unanswered_ = 0;
+};
+
+}  // namespace cottonwing::backend
--- /dev/null
+++ b/src/calls/records.cpp
@@ -0,0 +1,179 @@
+#include "calls/records.h"
+
+namespace cottonwing::calls {
+
+namespace {
+
+using namespace std::chrono_literals;
+using report::Count;
+
+constexpr net::Bounds kBounds = {128 << 10, 32 << 10};
+constexpr Nanos kUnused = 4s;  // the other side closes after 10 s: never a call onto a closing connection
+
+Outcome outcomeOf(const net::HttpReplies::Reply& reply) {
+    const bool notBegun = reply.has("op-not-begun", "1");
+    if (reply.status == 200) return Outcome::Ok;
+    if (reply.status == 503 && notBegun) return Outcome::Full;
+    if (reply.status == 409 && notBegun) return Outcome::Moot;
+    if (reply.status == 504) return Outcome::TimedOut;
+    return Outcome::Error;
+}
+
+Count countOf(Outcome outcome) {
+    switch (outcome) {
+        case Outcome::Ok:
+            return Count::CallsOk;
+        case Outcome::Error:
+            return Count::CallsError;
+        case Outcome::Full:
+            return Count::CallsFull;
+        case Outcome::TimedOut:
+            return Count::CallsTimedOut;
+        case Outcome::Unreachable:
+            return Count::CallsUnreachable;
+        case Outcome::Broken:
+            return Count::CallsBroken;
+        case Outcome::Moot:
+            return Count::CallsMoot;
+        case Outcome::Cancelled:
+            break;
+    }
+    return Count::CallsGivenUp;
+}
+
+}  // namespace
+
+struct Records::Line : private net::Owner {
+    explicit Line(Records& theRecords)
+        : records(theRecords),
+          patience(theRecords.loop_,
+                   [this] {
+                       records.ended(*this, connection.isOpen() ? net::ConnectionEnd::TimedOut
+                                                                : net::ConnectionEnd::ConnectTimedOut);
+                   }),
+          replies([this](net::HttpReplies::Reply&& reply) { records.replied(*this, std::move(reply)); }),
+          connection(theRecords.loop_, theRecords.at_, *this, kBounds) {}
+
+    void arrived(net::Connection& from) override {
+        net::Ring& input = from.input();
+        while (!input.empty()) {
+            const std::string piece(input.front());
+            input.drop(piece.size());
+            const CommandId before = id;
+            if (!busy || !replies.read(piece)) return records.ended(*this, net::ConnectionEnd::Malformed);
+            if (gone || before != id || !busy) return;
+        }
+    }
+    void ended(net::Connection&, net::ConnectionEnd end) override { records.ended(*this, end); }
+
+    Records& records;
+    net::Timer patience;
+    net::HttpReplies replies;
+    net::Connection connection;
+    bool busy = false, gone = false;
+    CommandId id = 0;
+    Nanos since{0};  // of the call, or of being unused
+    Lines::iterator place;
+};
+
+Records::Records(net::Loop& loop, net::Address at, int mostConnections, backend::Backend& backend,
+                 report::Log& log, report::Counters& counters)
+    : loop_(loop),
+      at_(std::move(at)),
+      most_(static_cast<std::size_t>(mostConnections)),
+      backend_(backend),
+      log_(log),
+      counters_(counters),
+      sweep_(loop, [this] { closeUnused(); }) {}
+
+Records::~Records() = default;
+
+void Records::begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) {
+    giveUp(id);
+    counters_.add(Count::CallsBegun);
+    if (kept_.empty()) {
+        if (busy_.size() >= most_) return report(id, Outcome::Unreachable, 0ns, {});
+        try {
+            busy_.push_back(std::make_unique<Line>(*this));
+        } catch (const std::exception& error) {
+            log_.warn("records", error.what());
+            return report(id, Outcome::Unreachable, 0ns, {});
+        }
+    } else {
+        busy_.splice(busy_.end(), kept_, std::prev(kept_.end()));  // the one used last
+    }
+    const auto place = std::prev(busy_.end());
+    Line& line = **place;
+    line.place = place;
+    line.busy = true;
+    line.id = id;
+    line.since = net::unixNow();
+    out_[id] = place;
+    const auto millis = std::max<std::int64_t>(1, patience / 1ms);
+    std::string request = "POST /records/op HTTP/1.1\r\nOp-Of: " + name +
+                          "\r\nOp-Wait-Ms: " + std::to_string(millis) +
+                          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    request.append(body);
+    line.patience.start(patience);
+    if (!line.connection.send(request)) ended(line, net::ConnectionEnd::TooLong);
+}
+
+void Records::giveUp(CommandId id) {
+    const auto found = out_.find(id);
+    if (found == out_.end()) return;
+    const auto place = found->second;
+    counters_.add(Count::CallsGivenUp);
+    counters_.addEnd(net::ConnectionEnd::Abandoned);
+    out_.erase(found);
+    busy_.erase(place);
+}
+
+void Records::replied(Line& line, net::HttpReplies::Reply&& reply) {
+    const CommandId id = line.id;
+    const Nanos took = net::unixNow() - line.since;
+    line.patience.stop();
+    line.busy = false;
+    out_.erase(id);
+    if (reply.keepsOpen) {
+        line.since = net::unixNow();
+        if (kept_.empty()) sweep_.start(kUnused);
+        kept_.splice(kept_.end(), busy_, line.place);
+    } else {
+        line.gone = true;
+        // Not from under the connection that is speaking: it ends with its next turn of the loop.
+        line.since = Nanos(0);
+        sweep_.start(0ns);
+        kept_.splice(kept_.begin(), busy_, line.place);
+    }
+    report(id, outcomeOf(reply), took, reply.body);
+}
+
+void Records::ended(Line& line, net::ConnectionEnd end) {
+    counters_.addEnd(end);
+    const bool wasBusy = line.busy;
+    const CommandId id = line.id;
+    const Nanos took = net::unixNow() - line.since;
+    if (!wasBusy) {
+        kept_.erase(line.place);
+        return;
+    }
+    out_.erase(id);
+    busy_.erase(line.place);
+    report(id, net::outcomeOf(end), took, {});
+}
+
+void Records::report(CommandId id, Outcome outcome, Nanos took, std::string_view body) {
+    counters_.add(countOf(outcome));
+    backend_.callEnded(id, outcome, took, body);
+}
+
+void Records::closeUnused() {
+    const Nanos now = net::unixNow();
+    while (!kept_.empty() && now - kept_.front()->since >= kUnused) {
+        counters_.addEnd(net::ConnectionEnd::Unused);
+        kept_.pop_front();
+    }
+    if (!kept_.empty()) sweep_.start(kept_.front()->since + kUnused - now);
+}
+
+}  // namespace cottonwing::calls
--- /dev/null
+++ b/src/calls/records.h
@@ -0,0 +1,47 @@
+// Calls of commands to the records service: one call at a time on a connection, connections kept for a while.
+#pragma once
+
+#include <list>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "backend/backend.h"
+#include "net/connection.h"
+#include "net/http_reply.h"
+
+namespace cottonwing::calls {
+
+class Records : public backend::Calls {
+public:
+    Records(net::Loop& loop, net::Address at, int mostConnections, backend::Backend& backend,
+            report::Log& log, report::Counters& counters);
+    ~Records() override;
+
+    void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) override;
+    void giveUp(CommandId id) override;
+
+    std::size_t out() const { return out_.size(); }
+    std::size_t kept() const { return kept_.size(); }
+
+private:
+    struct Line;  // one connection
+    using Lines = std::list<std::unique_ptr<Line>>;
+
+    void replied(Line& line, net::HttpReplies::Reply&& reply);
+    void ended(Line& line, net::ConnectionEnd end);
+    void report(CommandId id, Outcome outcome, Nanos took, std::string_view body);
+    void closeUnused();
+
+    net::Loop& loop_;
+    const net::Address at_;
+    const std::size_t most_;
+    backend::Backend& backend_;
+    report::Log& log_;
+    report::Counters& counters_;
+    net::Timer sweep_;
+    std::unordered_map<CommandId, Lines::iterator> out_;  // calls out; emptied by their ends
+    Lines busy_, kept_;  // kept: the longest unused in front; emptied by use, by time and by the other side
+};
+
+}  // namespace cottonwing::calls
--- /dev/null
+++ b/src/intake/sidecars.h
@@ -0,0 +1,69 @@
+// The sidecars' connections: commands in, answers out in any order, health checks, forget and goaway.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "backend/backend.h"
+#include "intake/thrift.h"
+#include "launch/terms.h"
+#include "net/connection.h"
+
+namespace cottonwing::intake {
+
+class Sidecars : public backend::Door {
+public:
+    Sidecars(net::Loop& loop, const net::Address& at, std::size_t mostConnections, launch::Names names,
+             backend::Backend& backend, report::Log& log, report::Counters& counters);
+    ~Sidecars() override;
+
+    void handled(CommandId id, std::string_view result) override;
+    void bounced(CommandId id, Nanos comeBack, bool nowhereElse) override;
+    void scrapped(CommandId id) override;
+    void closeIdle(Nanos unusedFor) override;
+
+    // No new connections and no new commands on those there are.
+    void sendAway();
+    bool flushed() const;
+    std::size_t connections() const { return lines_.size(); }
+    int port() const { return listener_->port(); }
+
+private:
+    struct Line;  // one connection
+    using Lines = std::list<std::unique_ptr<Line>>;
+    struct Place {
+        Line* line;
+        std::int32_t sequence;
+    };
+
+    void accept(uv_stream_t* listener);
+    void read(Line& line);
+    bool take(Line& line, const Message& message);
+    void takeCommand(Line& line, const Message& message);
+    void refuse(Line& line, const Message& message, Refusal kind, const std::string& why);
+    void answer(CommandId id, std::string (*write)(std::int32_t, const Fields&), const Fields& fields);
+    void write(Line& line, const std::string& frame);
+    void touch(Line& line);
+    void end(Line& line, net::ConnectionEnd end);
+    void closeUnused();
+    Fields advice() const;
+
+    net::Loop& loop_;
+    const std::size_t most_;
+    const launch::Names names_;
+    backend::Backend& backend_;
+    report::Log& log_;
+    report::Counters& counters_;
+    Lines lines_;  // the longest without traffic in front; emptied by the ends of connections
+    std::unordered_map<CommandId, Place> places_;  // open commands; emptied by answers, forget and ends
+    Nanos idle_{0};  // connections without traffic for this long are sent away; 0: none
+    net::Timer sweep_;
+    bool away_ = false;
+    std::string scratch_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace cottonwing::intake
--- /dev/null
+++ b/src/launch/start.cpp
@@ -0,0 +1,140 @@
+#include "launch/start.h"
+
+#include <charconv>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+namespace cottonwing::launch {
+
+namespace {
+
+using Json = nlohmann::json;
+using namespace std::chrono_literals;
+
+[[noreturn]] void complain(const std::string& key, const std::string& expected) {
+    throw BadKey(key + ": " + expected);
+}
+
+net::Address readAddress(const std::string& key, const std::string& text) {
+    const std::size_t colon = text.rfind(':');
+    net::Address address{text.substr(0, colon), 0};
+    sockaddr_in parsed{};
+    if (colon != text.npos) {
+        const char* const last = text.data() + text.size();
+        const auto [end, error] = std::from_chars(text.data() + colon + 1, last, address.port);
+        if (error == std::errc() && end == last && address.port >= 0 && address.port < 65536 &&
+            uv_ip4_addr(address.host.c_str(), address.port, &parsed) == 0)
+            return address;
+    }
+    complain(key, "an address such as 127.0.0.1:8080 was expected, not '" + text + "'");
+}
+
+const Json& need(const Json& object, const std::string& path, const char* key) {
+    const auto found = object.find(key);
+    if (found == object.end()) complain(path + key, "is missing");
+    return *found;
+}
+
+std::string text(const Json& all, const char* key) {
+    const Json& value = need(all, "", key);
+    if (!value.is_string() || value.get<std::string>().empty()) complain(key, "a text was expected");
+    return value.get<std::string>();
+}
+
+double positive(const Json& object, const std::string& path, const char* key) {
+    const Json& value = need(object, path, key);
+    if (!value.is_number() || !(value.get<double>() > 0))
+        complain(path + key, "a number above 0 was expected");
+    return value.get<double>();
+}
+
+const Json& object(const Json& all, const std::string& path, const char* key) {
+    const Json& value = need(all, path, key);
+    if (!value.is_object()) complain(path + key, "an object was expected");
+    return value;
+}
+
+std::uint64_t readSeed(const std::string& seed) {
+    std::uint64_t value = 0;
+    const char* const last = seed.data() + seed.size();
+    const auto [end, error] = std::from_chars(seed.data(), last, value, 16);
+    if (error != std::errc() || end != last) complain("seed", "up to 16 hex digits were expected");
+    return value;
+}
+
+// A site that needs what the protocol on sockets does not carry is not half-served.
+void refuseWhatIsNotCarried(const StartTerms& terms) {
+    for (const ProfileTerms& profile : terms.profiles) {
+        if (profile.repeat == Repeat::Tagged)
+            complain("settings.classes[].repeat", "tagged profiles can't be served: tags don't reach us");
+        if (profile.poorerShare > 0)
+            complain("settings.family_info.degraded_worth",
+                     "0 was expected: a run can't be told to go on without its call");
+        if (profile.hardStop <= 0ns)
+            complain("settings.classes[].deadline_us", "a time above 0 was expected");
+        if (profile.promised <= 0ns) complain("settings.classes[].aim_us", "a time above 0 was expected");
+        if (profile.calls && terms.below != Below::Shared)
+            complain("settings.family_info.below", "'shared' was expected, as profiles call");
+    }
+}
+
+}  // namespace
+
+Start readStart(const Environment& environment) {
+    const auto variable = [&](const char* key) {
+        const char* value = environment(key);
+        if (value == nullptr || *value == '\0') complain(key, "is not set");
+        return std::string(value);
+    };
+    Start start;
+    start.name = variable("GW_NAME");
+    const std::string listen = variable("GW_LISTEN"), path = variable("GW_CONFIG");
+    start.listen = readAddress("GW_LISTEN", listen);
+    if (const char* level = environment("GW_LOG")) {
+        static const std::map<std::string, report::Level> kLevels = {{"error", report::Level::Error},
+                                                                     {"warn", report::Level::Warn},
+                                                                     {"info", report::Level::Info},
+                                                                     {"debug", report::Level::Debug}};
+        const auto found = kLevels.find(level);
+        if (found == kLevels.end()) complain("GW_LOG", "error, warn, info or debug was expected");
+        start.level = found->second;
+    }
+    std::ifstream file(path);
+    if (!file) complain("GW_CONFIG", "'" + path + "' can't be opened");
+    const Json all = Json::parse(file, nullptr, false);
+    if (!all.is_object()) complain("GW_CONFIG", "'" + path + "' holds no JSON object");
+
+    if (text(all, "name") != start.name) complain("name", "'" + start.name + "' was expected, as in GW_NAME");
+    if (text(all, "listen") != listen) complain("listen", "'" + listen + "' was expected, as in GW_LISTEN");
+    start.pool = readAddress("pool", text(all, "pool"));
+    start.registry = readAddress("registry", text(all, "registry"));
+    start.records = readAddress("records", text(all, "records"));
+    start.stopAfter = Nanos(static_cast<std::int64_t>(positive(all, "", "stop_ms") * 1e6));
+    const Json& limits = object(all, "", "limits");
+    start.descriptors = static_cast<int>(positive(limits, "limits.", "sockets"));
+    if (start.descriptors < 64) complain("limits.sockets", "at least 64 were expected");
+
+    const Json& settings = object(all, "", "settings");
+    start.terms = readTerms(settings, readSeed(text(all, "seed")), start.names);
+    refuseWhatIsNotCarried(start.terms);
+    const Json& mine = object(settings, "settings.", "family_info");
+    positive(mine, "settings.family_info.", "cores");
+    positive(mine, "settings.family_info.", "heap_kb");
+    const auto gauges = mine.find("own_stats");
+    if (gauges != mine.end()) {
+        if (!gauges->is_array()) complain("settings.family_info.own_stats", "a list of names was expected");
+        for (const Json& gauge : *gauges) {
+            if (!gauge.is_string()) complain("settings.family_info.own_stats", "names were expected");
+            start.gauges.push_back(gauge.get<std::string>());
+        }
+    }
+    const auto follows = mine.find("readiness");
+    if (follows != mine.end()) {
+        if (!follows->is_boolean()) complain("settings.family_info.readiness", "true or false was expected");
+        start.listFollowsHealth = follows->get<bool>();
+    }
+    return start;
+}
+
+}  // namespace cottonwing::launch
--- /dev/null
+++ b/src/listing/registry.h
@@ -0,0 +1,39 @@
+// Reports to the registry: one about every second on a timer and a connection of its own, behind nothing
+// else.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "net/connection.h"
+#include "net/http_reply.h"
+#include "report/counters.h"
+#include "report/log.h"
+
+namespace cottonwing::listing {
+
+class Registry : private net::Owner {
+public:
+    Registry(net::Loop& loop, net::Address at, std::string name, report::Log& log,
+             report::Counters& counters);
+
+    void say(bool ready);  // a change is reported at once
+
+private:
+    void arrived(net::Connection& connection) override;
+    void ended(net::Connection& connection, net::ConnectionEnd end) override;
+    void send();
+    void lost(net::ConnectionEnd end);
+
+    net::Loop& loop_;
+    const net::Address at_;
+    const std::string name_;
+    report::Log& log_;
+    report::Counters& counters_;
+    net::Timer next_, patience_;
+    std::unique_ptr<net::Connection> connection_;
+    std::unique_ptr<net::HttpReplies> replies_;
+    bool ready_ = true, waiting_ = false, changed_ = false, away_ = false;
+};
+
+}  // namespace cottonwing::listing
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,190 @@
+#include "net/connection.h"
+
+#include <stdexcept>
+
+namespace cottonwing::net {
+
+namespace {
+
+sockaddr_in socketAddress(const Address& address) {
+    sockaddr_in result{};
+    if (uv_ip4_addr(address.host.c_str(), address.port, &result) != 0)
+        throw std::runtime_error("address " + address.host + " can't be read");
+    return result;
+}
+
+uv_stream_t* stream(uv_tcp_t& tcp) { return reinterpret_cast<uv_stream_t*>(&tcp); }
+
+}  // namespace
+
+Channel::Channel(Loop& theLoop, Connection* theOwner, Bounds bounds)
+    : loop(theLoop), owner(theOwner), in(bounds.in), out(bounds.out) {
+    uv_tcp_init(loop.raw(), &tcp);
+    tcp.data = connecting.data = writing.data = this;
+}
+
+void Channel::read() {
+    if (reading || closing || !open || out.size() > out.room()) return;
+    reading = true;
+    uv_read_start(
+        stream(tcp),
+        [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
+            const auto space = static_cast<Channel*>(handle->data)->in.space();
+            *buffer = uv_buf_init(space.data(), static_cast<unsigned>(space.size()));
+        },
+        [](uv_stream_t* handle, ssize_t count, const uv_buf_t*) {
+            auto* self = static_cast<Channel*>(handle->data);
+            self->loop.guarded([self, count] {
+                if (count == 0) return;
+                if (count == UV_EOF) return self->fail(ConnectionEnd::PeerClosed);
+                if (count == UV_ENOBUFS) return self->fail(ConnectionEnd::TooLong);
+                if (count < 0) return self->fail(ConnectionEnd::Reset);
+                self->in.commit(static_cast<std::size_t>(count));
+                if (self->owner != nullptr) self->owner->owner_.arrived(*self->owner);
+            });
+        });
+}
+
+// As much as the system takes now; what is left waits for it, and nothing is read while half is full.
+void Channel::flush() {
+    queued = false;
+    if (!open || closing || flushing) return;
+    while (!out.empty()) {
+        const std::string_view piece = out.front();
+        uv_buf_t buffer = uv_buf_init(const_cast<char*>(piece.data()), static_cast<unsigned>(piece.size()));
+        const int taken = uv_try_write(stream(tcp), &buffer, 1);
+        if (taken > 0) {
+            out.drop(static_cast<std::size_t>(taken));
+            continue;
+        }
+        if (taken != UV_EAGAIN) return fail(ConnectionEnd::Reset);
+        pinned = out.pin();
+        flushing = true;
+        if (out.size() > out.room() && reading) {
+            reading = false;
+            uv_read_stop(stream(tcp));
+        }
+        writingSize = piece.size();
+        uv_write(&writing, stream(tcp), &buffer, 1, [](uv_write_t* request, int status) {
+            auto* self = static_cast<Channel*>(request->data);
+            self->loop.guarded([self, status] {
+                self->flushing = false;
+                self->pinned.reset();
+                if (self->closing) return;
+                if (status != 0) return self->fail(ConnectionEnd::Reset);
+                self->out.drop(self->writingSize);
+                self->flush();
+                self->read();
+            });
+        });
+        return;
+    }
+}
+
+void Channel::close() {
+    if (closing) return;
+    closing = true;
+    owner = nullptr;
+    if (queued) loop.forgets(this);
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp),
+             [](uv_handle_t* closed) { delete static_cast<Channel*>(closed->data); });
+}
+
+void Channel::fail(ConnectionEnd end) {
+    if (owner == nullptr || closing) return;
+    Connection& connection = *owner;
+    connection.owner_.ended(connection, end);
+}
+
+Connection::Connection(Loop& loop, const Address& to, Owner& owner, Bounds bounds)
+    : channel_(new Channel(loop, this, bounds)), owner_(owner) {
+    const sockaddr_in address = socketAddress(to);
+    uv_tcp_nodelay(&channel_->tcp, 1);
+    const int error =
+        uv_tcp_connect(&channel_->connecting, &channel_->tcp, reinterpret_cast<const sockaddr*>(&address),
+                       [](uv_connect_t* request, int status) {
+                           auto* self = static_cast<Channel*>(request->data);
+                           self->loop.guarded([self, status] {
+                               if (self->closing || self->owner == nullptr) return;
+                               if (status != 0) return self->fail(ConnectionEnd::ConnectRefused);
+                               self->open = true;
+                               self->read();
+                               if (!self->out.empty()) self->flush();
+                               if (self->owner != nullptr) self->owner->owner_.opened(*self->owner);
+                           });
+                       });
+    if (error != 0) {
+        channel_->close();
+        throw std::runtime_error(std::string("connect: ") + uv_strerror(error));
+    }
+}
+
+Connection::Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds)
+    : channel_(new Channel(loop, this, bounds)), owner_(owner) {
+    if (const int error = uv_accept(listener, stream(channel_->tcp)); error != 0) {
+        channel_->close();
+        throw std::runtime_error(std::string("accept: ") + uv_strerror(error));
+    }
+    uv_tcp_nodelay(&channel_->tcp, 1);
+    channel_->open = true;
+    channel_->read();
+}
+
+Connection::~Connection() { channel_->close(); }
+
+bool Connection::send(std::string_view bytes) {
+    if (!channel_->out.write(bytes)) return false;
+    if (!channel_->queued) {
+        channel_->queued = true;
+        channel_->loop.wantsFlush(channel_);
+    }
+    return true;
+}
+
+struct Listener::Handle {
+    uv_tcp_t tcp;
+    std::function<void(uv_stream_t*)> accepts;
+    std::function<bool()> full;
+    bool waiting = false;
+    void take() {
+        waiting = full();
+        // Not taken, the connection stays in the system's queue, and the loop does not look there again.
+        if (!waiting) accepts(stream(tcp));
+    }
+};
+
+Listener::Listener(Loop& loop, const Address& at, std::function<void(uv_stream_t*)> accepts,
+                   std::function<bool()> full)
+    : handle_(new Handle{{}, std::move(accepts), std::move(full)}) {
+    uv_tcp_init(loop.raw(), &handle_->tcp);
+    handle_->tcp.data = handle_;
+    const sockaddr_in address = socketAddress(at);
+    int error = uv_tcp_bind(&handle_->tcp, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (error == 0)
+        error = uv_listen(stream(handle_->tcp), 511, [](uv_stream_t* listener, int status) {
+            if (status != 0) return;  // out of descriptors: the library has dropped what waited
+            Loop::of(listener->loop).guarded([listener] { static_cast<Handle*>(listener->data)->take(); });
+        });
+    if (error == 0) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+             [](uv_handle_t* closed) { delete static_cast<Handle*>(closed->data); });
+    throw std::runtime_error(std::string("can't listen: ") + uv_strerror(error));
+}
+
+Listener::~Listener() {
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+             [](uv_handle_t* closed) { delete static_cast<Handle*>(closed->data); });
+}
+
+void Listener::resume() {
+    if (handle_->waiting) handle_->take();
+}
+
+int Listener::port() const {
+    sockaddr_in address{};
+    int length = sizeof address;
+    uv_tcp_getsockname(&handle_->tcp, reinterpret_cast<sockaddr*>(&address), &length);
+    return ntohs(address.sin_port);
+}
+
+}  // namespace cottonwing::net
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,95 @@
+// A connection with one ring a direction, and the listener that accepts them.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/ending.h"
+#include "net/loop.h"
+#include "net/ring.h"
+
+namespace cottonwing::net {
+
+struct Address {
+    std::string host;
+    int port = 0;
+};
+
+struct Bounds {
+    std::size_t in, out;
+};
+
+class Connection;
+
+// Who owns a connection hears of it here; each may destroy it.
+class Owner {
+public:
+    virtual ~Owner() = default;
+    virtual void opened(Connection&) {}
+    virtual void arrived(Connection& connection) = 0;                   // bytes were added to its input
+    virtual void ended(Connection& connection, ConnectionEnd end) = 0;  // once, and never by its own end()
+};
+
+// The handle and the rings: lives until the loop has let go of the handle.
+struct Channel {
+    Channel(Loop& theLoop, Connection* theOwner, Bounds bounds);
+    void read();
+    void flush();
+    void close();
+    void fail(ConnectionEnd end);
+
+    uv_tcp_t tcp;
+    uv_connect_t connecting;
+    uv_write_t writing;
+    Loop& loop;
+    Connection* owner;
+    Ring in, out;
+    std::shared_ptr<char[]> pinned;  // storage that a pending write reads from
+    std::size_t writingSize = 0;     // of that write
+    bool open = false, reading = false, flushing = false, queued = false, closing = false;
+};
+
+class Connection {
+public:
+    // Begins to connect.
+    Connection(Loop& loop, const Address& to, Owner& owner, Bounds bounds);
+    // Accepts what waits at a listener.
+    Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds);
+    ~Connection();  // closes; the owner hears nothing
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    Ring& input() { return channel_->in; }
+    // Written at the end of the turn; false, and nothing kept, when the output has no room for it.
+    bool send(std::string_view bytes);
+    bool isOpen() const { return channel_->open; }
+    bool flushed() const { return channel_->out.empty(); }
+    const Ring& output() const { return channel_->out; }
+
+private:
+    friend struct Channel;
+    Channel* channel_;
+    Owner& owner_;
+};
+
+class Listener {
+public:
+    // Throws when the address can't be had. full() says whether to wait before accepting more.
+    Listener(Loop& loop, const Address& at, std::function<void(uv_stream_t*)> accepts,
+             std::function<bool()> full);
+    ~Listener();
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+    void resume();  // there may be room again
+    int port() const;
+
+private:
+    struct Handle;
+    Handle* handle_;
+};
+
+}  // namespace cottonwing::net
--- /dev/null
+++ b/src/net/ending.cpp
@@ -0,0 +1,33 @@
+#include "net/ending.h"
+
+namespace cottonwing::net {
+
+const char* nameOf(ConnectionEnd end) {
+    static constexpr const char* kNames[kConnectionEnds] = {
+        "peer-closed", "reset",     "connect-refused", "connect-timed-out",
+        "timed-out",   "abandoned", "malformed",       "too-long",
+        "unused",      "leaving"};
+    return kNames[static_cast<int>(end)];
+}
+
+Outcome outcomeOf(ConnectionEnd end) {
+    switch (end) {
+        case ConnectionEnd::ConnectRefused:
+        case ConnectionEnd::ConnectTimedOut:
+            return Outcome::Unreachable;  // no byte of the call left this process
+        case ConnectionEnd::TimedOut:
+            return Outcome::TimedOut;
+        case ConnectionEnd::Abandoned:
+        case ConnectionEnd::Leaving:
+            return Outcome::Cancelled;
+        case ConnectionEnd::PeerClosed:
+        case ConnectionEnd::Reset:
+        case ConnectionEnd::Malformed:
+        case ConnectionEnd::TooLong:
+        case ConnectionEnd::Unused:
+            break;
+    }
+    return Outcome::Broken;  // it may have had its effect
+}
+
+}  // namespace cottonwing::net
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,96 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include "net/connection.h"
+
+namespace cottonwing::net {
+
+Nanos unixNow() {
+    return std::chrono::duration_cast<Nanos>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+Loop::Loop() {
+    if (const int error = uv_loop_init(&loop_); error != 0)
+        throw std::runtime_error(std::string("loop: ") + uv_strerror(error));
+    loop_.data = this;
+    uv_prepare_init(&loop_, &prepare_);
+    prepare_.data = this;
+    uv_prepare_start(&prepare_, [](uv_prepare_t* handle) { static_cast<Loop*>(handle->data)->turn(); });
+    uv_unref(reinterpret_cast<uv_handle_t*>(&prepare_));
+}
+
+Loop::~Loop() {
+    turn_ = nullptr;
+    uv_close(reinterpret_cast<uv_handle_t*>(&prepare_), nullptr);
+    uv_run(&loop_, UV_RUN_DEFAULT);  // the close callbacks of all handles
+    uv_loop_close(&loop_);
+}
+
+void Loop::turn() {
+    guarded([this] {
+        if (turn_) turn_();
+    });
+    const std::vector<Channel*> now = std::move(toFlush_);
+    toFlush_.clear();
+    for (Channel* channel : now) channel->flush();
+}
+
+void Loop::forgets(Channel* channel) { std::erase(toFlush_, channel); }
+
+struct Timer::Handle {
+    uv_timer_t timer;
+    std::function<void()> rings;
+};
+
+Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings)}) {
+    uv_timer_init(loop.raw(), &handle_->timer);
+    handle_->timer.data = handle_;
+}
+
+Timer::~Timer() {
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->timer),
+             [](uv_handle_t* closed) { delete static_cast<Handle*>(closed->data); });
+}
+
+void Timer::start(Nanos wait) {
+    using Millis = std::chrono::milliseconds;
+    uv_update_time(handle_->timer.loop);
+    const auto millis = std::chrono::ceil<Millis>(std::max(wait, Nanos(0))).count();
+    uv_timer_start(
+        &handle_->timer,
+        [](uv_timer_t* timer) {
+            // A copy: what rings may destroy the timer.
+            const auto rings = static_cast<Handle*>(timer->data)->rings;
+            Loop::of(timer->loop).guarded(rings);
+        },
+        static_cast<std::uint64_t>(millis), 0);
+}
+
+void Timer::stop() { uv_timer_stop(&handle_->timer); }
+
+struct Signal::Handle {
+    uv_signal_t signal;
+    std::function<void()> comes;
+};
+
+Signal::Signal(Loop& loop, int number, std::function<void()> comes)
+    : handle_(new Handle{{}, std::move(comes)}) {
+    uv_signal_init(loop.raw(), &handle_->signal);
+    handle_->signal.data = handle_;
+    uv_signal_start(
+        &handle_->signal,
+        [](uv_signal_t* signal, int) {
+            Loop::of(signal->loop).guarded(static_cast<Handle*>(signal->data)->comes);
+        },
+        number);
+    uv_unref(reinterpret_cast<uv_handle_t*>(&handle_->signal));
+}
+
+Signal::~Signal() {
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->signal),
+             [](uv_handle_t* closed) { delete static_cast<Handle*>(closed->data); });
+}
+
+}  // namespace cottonwing::net
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,88 @@
+// The loop and its timers. A turn: what came in is read, the turn's function runs once, then every
+// connection with output is written once.
+#pragma once
+
+#include <uv.h>
+
+#include <chrono>
+#include <exception>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "logic.h"
+
+namespace cottonwing::net {
+
+struct Channel;
+
+// The Unix clock, which all due times refer to.
+Nanos unixNow();
+
+class Loop {
+public:
+    Loop();
+    ~Loop();
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    void onTurn(std::function<void()> turn) { turn_ = std::move(turn); }
+    // Told of what a handler threw: nothing may pass through the C library.
+    void onTrouble(std::function<void(const std::string&)> trouble) { trouble_ = std::move(trouble); }
+    void run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+    void turnOnce() { uv_run(&loop_, UV_RUN_ONCE); }
+    void stop() { uv_stop(&loop_); }
+    uv_loop_t* raw() { return &loop_; }
+    static Loop& of(uv_loop_t* raw) { return *static_cast<Loop*>(raw->data); }
+
+    void wantsFlush(Channel* channel) { toFlush_.push_back(channel); }
+    void forgets(Channel* channel);
+
+    template <typename Work>
+    void guarded(Work&& work) noexcept {
+        try {
+            work();
+        } catch (const std::exception& error) {
+            if (trouble_) trouble_(error.what());
+        }
+    }
+
+private:
+    void turn();
+
+    uv_loop_t loop_;
+    uv_prepare_t prepare_;
+    std::function<void()> turn_;
+    std::function<void(const std::string&)> trouble_;
+    std::vector<Channel*> toFlush_;  // with output; emptied at the end of each turn
+};
+
+// Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up.
+class Timer {
+public:
+    Timer(Loop& loop, std::function<void()> rings);
+    ~Timer();
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+    void start(Nanos wait);
+    void stop();
+
+private:
+    struct Handle;
+    Handle* handle_;
+};
+
+// A signal of the system.
+class Signal {
+public:
+    Signal(Loop& loop, int number, std::function<void()> comes);
+    ~Signal();
+    Signal(const Signal&) = delete;
+    Signal& operator=(const Signal&) = delete;
+
+private:
+    struct Handle;
+    Handle* handle_;
+};
+
+}  // namespace cottonwing::net
--- /dev/null
+++ b/src/runs/pool_link.cpp
@@ -0,0 +1,139 @@
+#include "runs/pool_link.h"
+
+#include <cmath>
+
+namespace cottonwing::runs {
+
+namespace {
+
+using namespace std::chrono_literals;
+using report::Count;
+
+constexpr net::Bounds kBounds = {1 << 20, 4 << 20};
+constexpr int kAgainLeast = 20, kAgainMost = 100;  // milliseconds before a lost link is opened again
+// Asked behind the notices that a new link catches up with: its answer tells that these are all in.
+constexpr const char* kCaughtUp = "caught-up";
+
+}  // namespace
+
+PoolLink::PoolLink(net::Loop& loop, net::Address at, std::vector<std::string> profiles,
+                   std::vector<std::string> gauges, std::uint64_t seed, backend::Backend& backend,
+                   report::Log& log, report::Counters& counters)
+    : loop_(loop),
+      at_(std::move(at)),
+      profiles_(std::move(profiles)),
+      gauges_(std::move(gauges)),
+      chance_(static_cast<std::mt19937::result_type>(seed)),
+      backend_(backend),
+      log_(log),
+      counters_(counters),
+      again_(loop, [this] { open(); }) {
+    open();
+}
+
+void PoolLink::open() {
+    searched_ = 0;
+    connection_.reset(new net::Connection(loop_, at_, *this, kBounds));
+    connection_->send(bindLine(last_));
+}
+
+void PoolLink::start(const std::string& name, int profile, std::string_view body) {
+    say(startLine(name, profiles_[static_cast<std::size_t>(profile)], body));
+}
+void PoolLink::halt(const std::string& name) { say(haltLine(name)); }
+void PoolLink::supply(const std::string& name, std::string_view reply) { say(supplyLine(name, reply)); }
+void PoolLink::askGauges() { say(pollLine("gauges")); }
+
+// Without a link nothing is said: what the pool has to know is said again once there is one.
+void PoolLink::say(const std::string& line) {
+    if (!bound_ || !connection_) return;
+    if (!connection_->send(line)) lost(net::ConnectionEnd::TooLong);
+}
+
+void PoolLink::arrived(net::Connection& connection) {
+    net::Ring& input = connection.input();
+    std::string scratch;
+    for (;;) {
+        const std::size_t end = input.find('\n', searched_);
+        if (end == input.size()) {
+            searched_ = end;
+            return;
+        }
+        const auto notice = readNotice(input.peek(end, scratch));
+        input.drop(end + 1);
+        searched_ = 0;
+        if (notice) {
+            hear(*notice);
+            if (connection_.get() != &connection) return;
+        } else {
+            counters_.add(Count::PoolUnreadable);
+            log_.warn("pool", "a line that can't be read was left out");
+        }
+    }
+}
+
+void PoolLink::ended(net::Connection&, net::ConnectionEnd end) { lost(end); }
+
+void PoolLink::lost(net::ConnectionEnd end) {
+    counters_.addEnd(end);
+    if (bound_) log_.warn("pool", std::string("link lost: ") + net::nameOf(end));
+    bound_ = false;
+    connection_.reset();
+    again_.start(1ms * std::uniform_int_distribution<int>(kAgainLeast, kAgainMost)(chance_));
+}
+
+void PoolLink::hear(const Notice& notice) {
+    if (notice.number != 0) {
+        if (notice.number <= last_) return;  // seen on an earlier link
+        last_ = notice.number;
+    }
+    const auto id = readId(notice.job);
+    switch (notice.kind) {
+        case NoticeKind::Bound:
+            bound_ = true;
+            counters_.add(Count::PoolLinks);
+            if (everBound_) {
+                log_.info("pool", "link is back, last notice " + std::to_string(last_));
+                say(pollLine(kCaughtUp));
+            }
+            everBound_ = true;
+            return backend_.up(notice.state == "cold", notice.took);
+        case NoticeKind::Finished:
+            if (!id) return;
+            return backend_.runEnded(*id,
+                                     notice.state == "ok"       ? Outcome::Ok
+                                     : notice.state == "halted" ? Outcome::Cancelled
+                                     : notice.state == "void"   ? Outcome::Moot
+                                                                : Outcome::Error,
+                                     notice.took, notice.data);
+        case NoticeKind::Blocked:
+            if (id) backend_.parked(*id, notice.data);
+            return;
+        case NoticeKind::Polled:
+            if (notice.tag == kCaughtUp) return backend_.startAgain();
+            return hearGauges(notice.gauges);
+        case NoticeKind::Unknown:
+            counters_.add(Count::PoolUnknown);
+            log_.warn("pool", notice.state + " not carried out for " + notice.job);
+            // Nothing of it runs; other commands that were not carried out leave a run as it is.
+            if (id && notice.state == "spawn") backend_.runEnded(*id, Outcome::Error, 0ns, {});
+            return;
+        case NoticeKind::Verified:
+        case NoticeKind::Chatter:
+            return;
+    }
+}
+
+void PoolLink::hearGauges(const std::vector<double>& figures) {
+    Gauges gauges;
+    for (std::size_t i = 0; i < std::min(figures.size(), gauges_.size()); ++i) {
+        if (!std::isfinite(figures[i])) continue;
+        if (gauges_[i] == "core_use") gauges.coreUse = figures[i];
+        if (gauges_[i] == "on_cores") gauges.onCores = figures[i];
+        if (gauges_[i] == "heap_share") gauges.memoryShare = figures[i];
+        if (gauges_[i] == "links") gauges.connections = figures[i];
+    }
+    backend_.gauges(gauges);
+}
+
+}  // namespace cottonwing::runs
--- /dev/null
+++ b/src/runs/pool_link.h
@@ -0,0 +1,53 @@
+// The link to the worker pool, held open: commands out, notices in. Lost, it is opened again after a short
+// jittered wait, told where the notices ended, and told again what it may have missed.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "backend/backend.h"
+#include "net/connection.h"
+#include "runs/notices.h"
+
+namespace cottonwing::runs {
+
+class PoolLink : public backend::Runs, private net::Owner {
+public:
+    PoolLink(net::Loop& loop, net::Address at, std::vector<std::string> profiles,
+             std::vector<std::string> gauges, std::uint64_t seed, backend::Backend& backend, report::Log& log,
+             report::Counters& counters);
+
+    void start(const std::string& name, int profile, std::string_view body) override;
+    void halt(const std::string& name) override;
+    void supply(const std::string& name, std::string_view reply) override;
+    void askGauges() override;
+    bool bound() const { return bound_; }
+
+private:
+    void arrived(net::Connection& connection) override;
+    void ended(net::Connection& connection, net::ConnectionEnd end) override;
+    void open();
+    void lost(net::ConnectionEnd end);
+    void say(const std::string& line);
+    void hear(const Notice& notice);
+    void hearGauges(const std::vector<double>& figures);
+
+    net::Loop& loop_;
+    const net::Address at_;
+    const std::vector<std::string> profiles_, gauges_;
+    std::mt19937 chance_;
+    backend::Backend& backend_;
+    report::Log& log_;
+    report::Counters& counters_;
+    net::Timer again_;
+    std::unique_ptr<net::Connection> connection_;
+    std::uint64_t last_ = 0;  // number of the last notice read
+    std::size_t searched_ = 0;
+    bool bound_ = false, everBound_ = false;
+};
+
+}  // namespace cottonwing::runs
