--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -8,6 +8,7 @@
 using report::Count;
 
 constexpr Nanos kGaugesHold = 100ms;  // gauges older than this are not shown as present ones
+constexpr Nanos kWorkHolds = 1s;      // a run that ended well shows for this long that work gets done
 
 }  // namespace
 
@@ -75,6 +76,7 @@
     fresh_ = true;
     if (!owned.waiting()) return dropIfDone(at);
     if (outcome == Outcome::Ok) {
+        workSeenAt_ = net::unixNow();
         door_->handled(id, result);
         return answered(at, Count::Handled);
     }
@@ -82,6 +84,13 @@
     answered(at, Count::Scrapped);
 }
 
+void Backend::checkWork(std::function<void(bool)> told) {
+    if (!well_ || net::unixNow() - workSeenAt_ < kWorkHolds) return told(well_);
+    runs_->verify([this, told = std::move(told)](std::optional<bool> good) {
+        told(well_ && good.value_or(true));  // no word in time is no proof that work fails
+    });
+}
+
 void Backend::gauges(const Gauges& gauges) {
     gauges_ = gauges;
     gaugesAt_ = net::unixNow();
@@ -189,12 +198,14 @@
 void Backend::startAgain() {
     for (auto& [id, owned] : table_) {
         if (!owned.running) continue;
-        if (!owned.waiting()) {
-            if (terms_.halting != Halting::Never) runs_->halt(owned.name);
-            continue;
-        }
-        runs_->start(owned.name, owned.profile, owned.body);
-        if (!owned.supplied.empty()) runs_->supply(owned.name, owned.supplied);
+        // Also for one that nobody waits for any more: only an end, if of nothing, closes its books. A run
+        // that may have ended meanwhile is not risked twice where once is all that is allowed.
+        if (terms_.profiles[static_cast<std::size_t>(owned.profile)].repeat == Repeat::Repeatable)
+            runs_->start(owned.name, owned.profile, owned.body);
+        if (!owned.waiting() && terms_.halting != Halting::Never)
+            runs_->halt(owned.name);
+        else if (!owned.supplied.empty())
+            runs_->supply(owned.name, owned.supplied);
     }
 }
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -41,6 +41,8 @@
     virtual void halt(const std::string& name) = 0;
     virtual void supply(const std::string& name, std::string_view reply) = 0;
     virtual void askGauges() = 0;
+    // Does a little work; tells how it went, or nothing where no word came in time.
+    virtual void verify(std::function<void(std::optional<bool>)> told) = 0;
 };
 
 // The link to the dependency.
@@ -75,7 +77,10 @@
     void leave(Nanos stopAt);
     void turn();
 
+    // Good health, from the module's word alone.
     bool well() const { return well_; }
+    // And whether work gets done: seen from a run that ended well just now or, without one, from new work.
+    void checkWork(std::function<void(bool)> told);
     std::optional<double> freeValue() const { return freeValue_; }
     std::size_t unanswered() const { return unanswered_; }
     std::size_t inHand() const { return table_.size(); }
@@ -154,6 +159,7 @@
     Gauges gauges_;
     Nanos gaugesAt_{0};
     bool well_ = false;
+    Nanos workSeenAt_{0};  // when a run last ended well
     std::optional<double> freeValue_;
     Table table_;  // emptied by answers, by ends of runs and by callers that leave
     std::size_t unanswered_ = 0;
--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -72,17 +72,17 @@
     net::Connection connection;
     bool busy = false, gone = false;
     CommandId id = 0;
-    Nanos since{0};  // of the call, or of being unused
+    Nanos since{0}, until{0};  // of the call; since also of being unused
+    std::size_t unsent = 0;    // size of a call put on a kept connection
     Lines::iterator place;
 };
 
-Records::Records(net::Loop& loop, net::Address at, int mostConnections, backend::Backend& backend,
-                 report::Log& log, report::Counters& counters)
+Records::Records(net::Loop& loop, net::Address at, std::size_t mostConnections, backend::Backend& backend,
+                 report::Counters& counters)
     : loop_(loop),
       at_(std::move(at)),
-      most_(static_cast<std::size_t>(mostConnections)),
+      most_(mostConnections),
       backend_(backend),
-      log_(log),
       counters_(counters),
       sweep_(loop, [this] { closeUnused(); }) {}
 
@@ -91,31 +91,32 @@
 void Records::begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) {
     giveUp(id);
     counters_.add(Count::CallsBegun);
-    if (kept_.empty()) {
-        if (busy_.size() >= most_) return report(id, Outcome::Unreachable, 0ns, {});
-        try {
-            busy_.push_back(std::make_unique<Line>(*this));
-        } catch (const std::exception& error) {
-            log_.warn("records", error.what());
-            return report(id, Outcome::Unreachable, 0ns, {});
-        }
-    } else {
+    if (kept_.empty() && busy_.size() >= most_) return report(id, Outcome::Unreachable, 0ns, {});
+    const auto millis = std::max<std::int64_t>(1, patience / 1ms);
+    std::string request = "POST /records/op HTTP/1.1\r\nOp-Of: " + name +
+                          "\r\nOp-Wait-Ms: " + std::to_string(millis) +
+                          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    request.append(body);
+    const bool reused = !kept_.empty();
+    if (reused)
         busy_.splice(busy_.end(), kept_, std::prev(kept_.end()));  // the one used last
-    }
-    const auto place = std::prev(busy_.end());
+    else
+        busy_.push_back(std::make_unique<Line>(*this));
+    put(std::prev(busy_.end()), id, net::unixNow(), net::unixNow() + patience, std::move(request), reused);
+}
+
+void Records::put(Lines::iterator place, CommandId id, Nanos since, Nanos until, std::string request,
+                  bool reused) {
     Line& line = **place;
     line.place = place;
     line.busy = true;
     line.id = id;
-    line.since = net::unixNow();
+    line.since = since;
+    line.until = until;
+    line.unsent = reused ? request.size() : 0;
     out_[id] = place;
-    const auto millis = std::max<std::int64_t>(1, patience / 1ms);
-    std::string request = "POST /records/op HTTP/1.1\r\nOp-Of: " + name +
-                          "\r\nOp-Wait-Ms: " + std::to_string(millis) +
-                          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
-    request.append(body);
-    line.patience.start(patience);
-    if (!line.connection.send(request)) ended(line, net::ConnectionEnd::TooLong);
+    line.patience.start(until - net::unixNow());
+    line.connection.send(request);
 }
 
 void Records::giveUp(CommandId id) {
@@ -157,6 +158,16 @@
         kept_.erase(line.place);
         return;
     }
+    // A kept connection that was gone before a byte of the call was written: the call has yet to begin.
+    const net::Ring& output = line.connection.output();
+    if (line.unsent > 0 && output.size() == line.unsent &&
+        (end == net::ConnectionEnd::Reset || end == net::ConnectionEnd::PeerClosed)) {
+        std::string scratch, request(output.peek(line.unsent, scratch));
+        const Nanos since = line.since, until = line.until;
+        busy_.erase(line.place);
+        busy_.push_back(std::make_unique<Line>(*this));
+        return put(std::prev(busy_.end()), id, since, until, std::move(request), false);
+    }
     out_.erase(id);
     busy_.erase(line.place);
     report(id, net::outcomeOf(end), took, {});
--- a/src/calls/records.h
+++ b/src/calls/records.h
@@ -14,8 +14,8 @@
 
 class Records : public backend::Calls {
 public:
-    Records(net::Loop& loop, net::Address at, int mostConnections, backend::Backend& backend,
-            report::Log& log, report::Counters& counters);
+    Records(net::Loop& loop, net::Address at, std::size_t mostConnections, backend::Backend& backend,
+            report::Counters& counters);
     ~Records() override;
 
     void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) override;
@@ -28,6 +28,7 @@
     struct Line;  // one connection
     using Lines = std::list<std::unique_ptr<Line>>;
 
+    void put(Lines::iterator place, CommandId id, Nanos since, Nanos until, std::string request, bool reused);
     void replied(Line& line, net::HttpReplies::Reply&& reply);
     void ended(Line& line, net::ConnectionEnd end);
     void report(CommandId id, Outcome outcome, Nanos took, std::string_view body);
@@ -37,7 +38,6 @@
     const net::Address at_;
     const std::size_t most_;
     backend::Backend& backend_;
-    report::Log& log_;
     report::Counters& counters_;
     net::Timer sweep_;
     std::unordered_map<CommandId, Lines::iterator> out_;  // calls out; emptied by their ends
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -114,7 +114,7 @@
 Sidecars::~Sidecars() = default;
 
 void Sidecars::accept(uv_stream_t* listener) {
-    lines_.push_back(std::make_unique<Line>(*this, listener));
+    lines_.push_back(std::make_shared<Line>(*this, listener));
     Line& line = *lines_.back();
     line.place = std::prev(lines_.end());
     line.used = net::unixNow();
@@ -168,8 +168,15 @@
         }
         case Method::IsWell:
             counters_.add(Count::HealthChecks);
-            if (!message.oneway)
-                write(line, writeAnswer("isWell", message.sequence, {}, advice(), backend_.well()));
+            if (message.oneway || !message.thorough) {
+                if (!message.oneway) tellHealth(line, message.sequence, backend_.well());
+                return true;
+            }
+            // The connection may end before the work does.
+            backend_.checkWork(
+                [this, asked = std::weak_ptr(*line.place), sequence = message.sequence](bool good) {
+                    if (const auto still = asked.lock()) tellHealth(*still, sequence, good);
+                });
             return true;
         case Method::Unknown:
             if (!message.oneway) refuse(line, message, Refusal::UnknownMethod, "no such method");
@@ -194,6 +201,10 @@
     write(line, writeRefusal(message.name, message.sequence, kind, why));
 }
 
+void Sidecars::tellHealth(Line& line, std::int32_t sequence, bool good) {
+    write(line, writeAnswer("isWell", sequence, {}, advice(), good));
+}
+
 Fields Sidecars::advice() const {
     Fields fields;
     if (const auto value = backend_.freeValue()) fields.emplace("advice", text(*value));
@@ -229,8 +240,7 @@
 
 void Sidecars::write(Line& line, const std::string& frame) {
     touch(line);
-    // Only a sidecar that reads nothing fills its ring; it pays with its own connection.
-    if (!line.connection.send(frame)) end(line, net::ConnectionEnd::TooLong);
+    line.connection.send(frame);
 }
 
 void Sidecars::end(Line& line, net::ConnectionEnd end) {
@@ -268,18 +278,11 @@
 
 void Sidecars::sendAway() {
     listener_.reset();
-    for (auto line = lines_.begin(); line != lines_.end();) {
-        Line& here = **line++;  // a connection without room for it ends
-        if (here.sentAway) continue;
-        here.sentAway = true;
-        if (!here.connection.send(writeGoaway())) end(here, net::ConnectionEnd::TooLong);
+    for (const auto& line : lines_) {
+        if (line->sentAway) continue;
+        line->sentAway = true;
+        line->connection.send(writeGoaway());
     }
 }
 
-bool Sidecars::flushed() const {
-    for (const auto& line : lines_)
-        if (!line->connection.flushed()) return false;
-    return true;
-}
-
 }  // namespace cottonwing::intake
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -27,13 +27,12 @@
 
     // No new connections and no new commands on those there are.
     void sendAway();
-    bool flushed() const;
     std::size_t connections() const { return lines_.size(); }
     int port() const { return listener_->port(); }
 
 private:
     struct Line;  // one connection
-    using Lines = std::list<std::unique_ptr<Line>>;
+    using Lines = std::list<std::shared_ptr<Line>>;
     struct Place {
         Line* line;
         std::int32_t sequence;
@@ -49,6 +48,7 @@
     void touch(Line& line);
     void end(Line& line, net::ConnectionEnd end);
     void closeUnused();
+    void tellHealth(Line& line, std::int32_t sequence, bool good);
     Fields advice() const;
 
     net::Loop& loop_;
@@ -61,7 +61,6 @@
     std::unordered_map<CommandId, Place> places_;  // open commands; emptied by answers, forget and ends
     Nanos idle_{0};  // connections without traffic for this long are sent away; 0: none
     net::Timer sweep_;
-    bool away_ = false;
     std::string scratch_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -112,6 +112,8 @@
     start.records = readAddress("records", text(all, "records"));
     start.stopAfter = Nanos(static_cast<std::int64_t>(positive(all, "", "stop_ms") * 1e6));
     const Json& limits = object(all, "", "limits");
+    positive(limits, "limits.", "cores");
+    positive(limits, "limits.", "memory_mb");
     start.descriptors = static_cast<int>(positive(limits, "limits.", "sockets"));
     if (start.descriptors < 64) complain("limits.sockets", "at least 64 were expected");
 
--- a/src/listing/registry.cpp
+++ b/src/listing/registry.cpp
@@ -50,9 +50,8 @@
     waiting_ = true;
     changed_ = false;
     patience_.start(kPatience);
-    if (!connection_->send("PUT /v1/instances/" + name_ +
-                           " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body))
-        lost(net::ConnectionEnd::TooLong);
+    connection_->send("PUT /v1/instances/" + name_ +
+                      " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
 void Registry::arrived(net::Connection& connection) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -24,7 +24,7 @@
 }
 
 void Channel::read() {
-    if (reading || closing || !open || out.size() > out.room()) return;
+    if (reading || closing || !open || halfFull()) return;
     reading = true;
     uv_read_start(
         stream(tcp),
@@ -45,9 +45,24 @@
         });
 }
 
-// As much as the system takes now; what is left waits for it, and nothing is read while half is full.
+// Whoever does not read what it is answered is not read from either.
+void Channel::pause() {
+    if (!reading) return;
+    reading = false;
+    uv_read_stop(stream(tcp));
+}
+
+void Channel::queue() {
+    if (queued) return;
+    queued = true;
+    loop.wantsFlush(this);
+}
+
+// As much as the system takes now; what is left waits for it.
 void Channel::flush() {
     queued = false;
+    if (stillborn) return fail(ConnectionEnd::ConnectRefused);
+    if (overflowed) return fail(ConnectionEnd::TooLong);
     if (!open || closing || flushing) return;
     while (!out.empty()) {
         const std::string_view piece = out.front();
@@ -60,10 +75,6 @@
         if (taken != UV_EAGAIN) return fail(ConnectionEnd::Reset);
         pinned = out.pin();
         flushing = true;
-        if (out.size() > out.room() && reading) {
-            reading = false;
-            uv_read_stop(stream(tcp));
-        }
         writingSize = piece.size();
         uv_write(&writing, stream(tcp), &buffer, 1, [](uv_write_t* request, int status) {
             auto* self = static_cast<Channel*>(request->data);
@@ -79,6 +90,7 @@
         });
         return;
     }
+    read();
 }
 
 void Channel::close() {
@@ -109,14 +121,13 @@
                                if (status != 0) return self->fail(ConnectionEnd::ConnectRefused);
                                self->open = true;
                                self->read();
-                               if (!self->out.empty()) self->flush();
+                               if (!self->out.empty()) self->queue();
                                if (self->owner != nullptr) self->owner->owner_.opened(*self->owner);
                            });
                        });
-    if (error != 0) {
-        channel_->close();
-        throw std::runtime_error(std::string("connect: ") + uv_strerror(error));
-    }
+    if (error == 0) return;
+    channel_->stillborn = true;  // no descriptor left, for one
+    channel_->queue();
 }
 
 Connection::Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds)
@@ -132,13 +143,10 @@
 
 Connection::~Connection() { channel_->close(); }
 
-bool Connection::send(std::string_view bytes) {
-    if (!channel_->out.write(bytes)) return false;
-    if (!channel_->queued) {
-        channel_->queued = true;
-        channel_->loop.wantsFlush(channel_);
-    }
-    return true;
+void Connection::send(std::string_view bytes) {
+    if (!channel_->out.write(bytes)) channel_->overflowed = true;
+    if (channel_->halfFull()) channel_->pause();
+    channel_->queue();
 }
 
 struct Listener::Handle {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -38,8 +38,11 @@
 struct Channel {
     Channel(Loop& theLoop, Connection* theOwner, Bounds bounds);
     void read();
+    void pause();
+    void queue();  // to be flushed at the end of the turn
     void flush();
     void close();
+    bool halfFull() const { return out.size() > out.room(); }
     void fail(ConnectionEnd end);
 
     uv_tcp_t tcp;
@@ -50,12 +53,13 @@
     Ring in, out;
     std::shared_ptr<char[]> pinned;  // storage that a pending write reads from
     std::size_t writingSize = 0;     // of that write
-    bool open = false, reading = false, flushing = false, queued = false, closing = false;
+    bool open = false, reading = false, flushing = false, queued = false, closing = false, stillborn = false,
+         overflowed = false;
 };
 
 class Connection {
 public:
-    // Begins to connect.
+    // Begins to connect; a failure is told by ended(), never from in here.
     Connection(Loop& loop, const Address& to, Owner& owner, Bounds bounds);
     // Accepts what waits at a listener.
     Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds);
@@ -64,8 +68,8 @@
     Connection& operator=(const Connection&) = delete;
 
     Ring& input() { return channel_->in; }
-    // Written at the end of the turn; false, and nothing kept, when the output has no room for it.
-    bool send(std::string_view bytes);
+    // Written at the end of the turn. Without room for all of it the connection ends there instead.
+    void send(std::string_view bytes);
     bool isOpen() const { return channel_->open; }
     bool flushed() const { return channel_->out.empty(); }
     const Ring& output() const { return channel_->out; }
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -32,9 +32,12 @@
     guarded([this] {
         if (turn_) turn_();
     });
-    const std::vector<Channel*> now = std::move(toFlush_);
-    toFlush_.clear();
-    for (Channel* channel : now) channel->flush();
+    // What fails here may close others that wait here too, or add some.
+    while (!toFlush_.empty()) {
+        Channel* const channel = toFlush_.back();
+        toFlush_.pop_back();
+        guarded([channel] { channel->flush(); });
+    }
 }
 
 void Loop::forgets(Channel* channel) { std::erase(toFlush_, channel); }
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -1,6 +1,7 @@
 #include "runs/pool_link.h"
 
 #include <cmath>
+#include <utility>
 
 namespace cottonwing::runs {
 
@@ -10,6 +11,7 @@
 using report::Count;
 
 constexpr net::Bounds kBounds = {1 << 20, 4 << 20};
+constexpr Nanos kCheck = 250ms;                    // what a check may take
 constexpr int kAgainLeast = 20, kAgainMost = 100;  // milliseconds before a lost link is opened again
 // Asked behind the notices that a new link catches up with: its answer tells that these are all in.
 constexpr const char* kCaughtUp = "caught-up";
@@ -27,7 +29,8 @@
       backend_(backend),
       log_(log),
       counters_(counters),
-      again_(loop, [this] { open(); }) {
+      again_(loop, [this] { open(); }),
+      patience_(loop, [this] { tell(std::nullopt); }) {
     open();
 }
 
@@ -44,10 +47,22 @@
 void PoolLink::supply(const std::string& name, std::string_view reply) { say(supplyLine(name, reply)); }
 void PoolLink::askGauges() { say(pollLine("gauges")); }
 
+// One check at a time serves all who ask meanwhile.
+void PoolLink::verify(std::function<void(std::optional<bool>)> told) {
+    checks_.push_back(std::move(told));
+    if (checks_.size() > 1) return;
+    patience_.start(bound_ ? kCheck : 0ns);
+    say(verifyLine(std::to_string(++verified_)));
+}
+
+void PoolLink::tell(std::optional<bool> good) {
+    patience_.stop();
+    for (const auto& told : std::exchange(checks_, {})) told(good);
+}
+
 // Without a link nothing is said: what the pool has to know is said again once there is one.
 void PoolLink::say(const std::string& line) {
-    if (!bound_ || !connection_) return;
-    if (!connection_->send(line)) lost(net::ConnectionEnd::TooLong);
+    if (bound_) connection_->send(line);
 }
 
 void PoolLink::arrived(net::Connection& connection) {
@@ -119,6 +134,8 @@
             if (id && notice.state == "spawn") backend_.runEnded(*id, Outcome::Error, 0ns, {});
             return;
         case NoticeKind::Verified:
+            if (notice.tag == std::to_string(verified_)) tell(notice.state == "ok");
+            return;
         case NoticeKind::Chatter:
             return;
     }
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -25,6 +25,7 @@
     void halt(const std::string& name) override;
     void supply(const std::string& name, std::string_view reply) override;
     void askGauges() override;
+    void verify(std::function<void(std::optional<bool>)> told) override;
     bool bound() const { return bound_; }
 
 private:
@@ -34,6 +35,7 @@
     void lost(net::ConnectionEnd end);
     void say(const std::string& line);
     void hear(const Notice& notice);
+    void tell(std::optional<bool> good);
     void hearGauges(const std::vector<double>& figures);
 
     net::Loop& loop_;
@@ -43,9 +45,11 @@
     backend::Backend& backend_;
     report::Log& log_;
     report::Counters& counters_;
-    net::Timer again_;
+    net::Timer again_, patience_;
     std::unique_ptr<net::Connection> connection_;
-    std::uint64_t last_ = 0;  // number of the last notice read
+    std::vector<std::function<void(std::optional<bool>)>> checks_;  // emptied by word or by patience
+    std::uint64_t verified_ = 0;                                    // checks asked of the pool
+    std::uint64_t last_ = 0;                                        // number of the last notice read
     std::size_t searched_ = 0;
     bool bound_ = false, everBound_ = false;
 };
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,195 @@
+// The decoders: pure, so each is fed whole, cut at every byte, wrongly and at random.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "helpers.h"
+#include "intake/thrift.h"
+#include "net/http_reply.h"
+#include "runs/notices.h"
+
+namespace cottonwing {
+namespace {
+
+using intake::FrameState;
+using intake::Message;
+using intake::Method;
+using testing::frames::TBinaryProtocol;
+namespace frames = testing::frames;
+namespace protocol = frames::protocol;
+
+std::optional<Message> decode(const std::string& frame) { return intake::readMessage(frame.substr(4)); }
+
+const testing::Reply kFields = {{"route", "read"}, {"trace", "9b1f03aa5c7e2d41"}};
+
+TEST(Thrift, ReadsWhatThePublishedLibraryWrites) {
+    const auto serve = decode(frames::serve(7, kFields, std::string("a\0b", 3)));
+    ASSERT_TRUE(serve);
+    EXPECT_EQ(serve->method, Method::Serve);
+    EXPECT_EQ(serve->sequence, 7);
+    EXPECT_EQ(serve->body, std::string("a\0b", 3));
+    EXPECT_EQ(serve->fields->at("trace"), "9b1f03aa5c7e2d41");
+    const auto forget = decode(frames::forget(8, 7));
+    ASSERT_TRUE(forget && forget->oneway);
+    EXPECT_EQ(forget->forgotten, 7);
+    EXPECT_TRUE(decode(frames::isWell(9, true))->thorough);
+    EXPECT_FALSE(decode(frames::isWell(9, false))->thorough);
+    EXPECT_EQ(decode(frames::frame("other", protocol::T_CALL, 1, [](TBinaryProtocol&) {}))->method,
+              Method::Unknown);
+}
+
+TEST(Thrift, ThePublishedLibraryReadsWhatIsWritten) {
+    const auto read = [](const std::string& frame) { return frames::read(frame.substr(4)); };
+    const auto answer = read(intake::writeAnswer("serve", 5, "result", {{"advice", "0.5"}}, true));
+    EXPECT_EQ(answer.kind + answer.method + answer.body, "answerserveresult");
+    EXPECT_TRUE(answer.good);
+    EXPECT_EQ(answer.sequence, 5);
+    EXPECT_EQ(answer.fields.at("advice"), "0.5");
+    EXPECT_FALSE(read(intake::writeAnswer("isWell", 5, "", {}, false)).good);
+    const auto busy = read(intake::writeBusy(6, {{"pause", "250"}, {"terminal", "1"}}));
+    EXPECT_EQ(busy.kind, "busy");
+    EXPECT_EQ(busy.fields.at("pause"), "250");
+    EXPECT_EQ(read(intake::writeFailed(6, {})).kind, "failed");
+    const auto refusal = read(intake::writeRefusal("nope", 6, intake::Refusal::UnknownMethod, "why"));
+    EXPECT_EQ(refusal.kind + refusal.body, "refusalwhy");
+    EXPECT_EQ(read(intake::writeGoaway()).method, "goaway");
+}
+
+TEST(Thrift, SkipsFieldsItDoesNotKnow) {
+    const auto message = decode(frames::frame("serve", protocol::T_CALL, 3, [](TBinaryProtocol& out) {
+        out.writeFieldBegin("new", protocol::T_STRUCT, 9);
+        out.writeFieldBegin("list", protocol::T_LIST, 1);
+        out.writeListBegin(protocol::T_I64, 2);
+        out.writeI64(1), out.writeI64(2);
+        out.writeFieldBegin("map", protocol::T_MAP, 2);
+        out.writeMapBegin(protocol::T_I16, protocol::T_DOUBLE, 1);
+        out.writeI16(1), out.writeDouble(2.5);
+        out.writeFieldStop();
+        out.writeFieldBegin("body", protocol::T_STRING, 2);
+        out.writeBinary("kept");
+        out.writeFieldBegin("fields", protocol::T_I32, 1);  // of another type: as if absent
+        out.writeI32(4);
+    }));
+    ASSERT_TRUE(message);
+    EXPECT_EQ(message->body, "kept");
+    EXPECT_FALSE(message->fields);
+}
+
+TEST(Thrift, AFrameIsWholeAtItsLastByteOnly) {
+    const std::string frame = frames::serve(1, kFields, "body"), two = frame + frames::forget(2, 1);
+    for (std::size_t cut = 0; cut <= two.size(); ++cut) {
+        net::Ring ring(32768);
+        ASSERT_TRUE(ring.write(std::string_view(two).substr(0, cut)));
+        std::size_t length = 0;
+        EXPECT_EQ(intake::lookForFrame(ring, length),
+                  cut < frame.size() ? FrameState::Partial : FrameState::Whole);
+        // The content cut short is malformed wherever it is cut.
+        if (cut < 4 || cut >= frame.size()) continue;
+        EXPECT_FALSE(intake::readMessage(std::string_view(frame).substr(4, cut - 4))) << cut;
+    }
+    EXPECT_FALSE(decode(frame + "x"));  // bytes behind the end
+}
+
+TEST(Thrift, RefusesWhatIsTooLongBeforeItIsStored) {
+    net::Ring ring(32768);
+    ASSERT_TRUE(ring.write(std::string("\0\0\x40\x01", 4)));
+    std::size_t length = 0;
+    EXPECT_EQ(intake::lookForFrame(ring, length), FrameState::TooLong);
+}
+
+TEST(Thrift, RefusesWhatIsMalformed) {
+    const std::string good = frames::serve(1, kFields, "body").substr(4);
+    std::string old = good;
+    old[0] = 0;  // no version: the older, unchecked form
+    EXPECT_FALSE(intake::readMessage(old));
+    std::string reply = good;
+    reply[3] = 2;
+    EXPECT_FALSE(intake::readMessage(reply));
+    std::string longer = good;
+    longer[4] = 0x7f;  // the name's length
+    EXPECT_FALSE(intake::readMessage(longer));
+    std::string deep = good.substr(0, good.find("serve") + 5 + 4);
+    for (int i = 0; i < 2000; ++i) deep += std::string("\x0c\0\x09", 3);
+    EXPECT_FALSE(intake::readMessage(deep));
+    // A list said to be four thousand million long, of structs that each are one byte.
+    std::string huge =
+        good.substr(0, good.find("serve") + 5 + 4) + std::string("\x0f\0\x09\x0c\xff\xff\xff\xff", 8);
+    EXPECT_FALSE(intake::readMessage(huge));
+}
+
+RC_GTEST_PROP(Thrift, AnyBytesAreReadOrRefused, (const std::string& bytes, std::uint8_t at, char other)) {
+    intake::readMessage(bytes);
+    std::string frame = frames::serve(1, kFields, bytes).substr(4);
+    RC_ASSERT(intake::readMessage(frame)->body == bytes);
+    frame[at % frame.size()] = other;
+    if (const auto message = intake::readMessage(frame))
+        RC_ASSERT(!message->body || message->body->size() <= frame.size());
+}
+
+TEST(Notices, AreReadByKind) {
+    const auto ended = runs::readNotice(
+        R"({"type":"finished","n":12,"job":"9b1f03aa5c7e2d41","state":"ok","took":12.5,"data":"AGI=","new":[1]})");
+    ASSERT_TRUE(ended);
+    EXPECT_EQ(ended->kind, runs::NoticeKind::Finished);
+    EXPECT_EQ(ended->number, 12U);
+    EXPECT_EQ(ended->took, Nanos(12500000));
+    EXPECT_EQ(ended->data, std::string("\0b", 2));
+    EXPECT_EQ(runs::readId(ended->job), 0x9b1f03aa5c7e2d41U);
+    EXPECT_EQ(runs::readNotice(R"({"type":"polled","ref":"a","gauges":[1,2.5]})")->gauges.size(), 2U);
+    for (const char* bad : {"", "[]", "{", R"({"type":"news"})", R"({"type":"blocked","data":"AG="})",
+                            R"({"type":"blocked","data":"A-=="})"})
+        EXPECT_FALSE(runs::readNotice(bad)) << bad;
+    EXPECT_FALSE(runs::readId("9b1f03aa5c7e2d4"));
+    EXPECT_FALSE(runs::readId("9b1f03aa5c7e2d4x"));
+}
+
+RC_GTEST_PROP(Notices, AnyBytesAreReadOrRefused, (const std::string& bytes)) {
+    runs::readNotice(bytes);
+    RC_ASSERT(runs::decode64(runs::encode64(bytes)) == bytes);
+    const auto notice =
+        runs::readNotice("{\"type\":\"blocked\",\"job\":\"x\",\"data\":\"" + runs::encode64(bytes) + "\"}");
+    RC_ASSERT(notice && notice->data == bytes);
+    if (const auto decoded = runs::decode64(bytes)) RC_ASSERT(decoded->size() <= bytes.size());
+}
+
+TEST(HttpReplies, AreWholeHoweverTheyAreCut) {
+    const std::string first = testing::HttpStandIn::reply(503, "body", "Op-Not-Begun: 1\r\n"),
+                      second = testing::HttpStandIn::reply(204);
+    for (std::size_t cut = 0; cut < first.size(); ++cut) {
+        std::vector<net::HttpReplies::Reply> replies;
+        net::HttpReplies reader(
+            [&](net::HttpReplies::Reply&& reply) { replies.push_back(std::move(reply)); });
+        EXPECT_TRUE(reader.read(first.substr(0, cut)));
+        EXPECT_TRUE(replies.empty());
+        EXPECT_TRUE(reader.read(first.substr(cut)));
+        EXPECT_TRUE(reader.read(second));
+        ASSERT_EQ(replies.size(), 2U);
+        EXPECT_EQ(replies[0].status, 503);
+        EXPECT_EQ(replies[0].body, "body");
+        EXPECT_TRUE(replies[0].has("op-not-begun", "1"));
+        EXPECT_EQ(replies[1].status, 204);
+        EXPECT_TRUE(replies[1].keepsOpen);
+        EXPECT_FALSE(replies[1].has("op-not-begun", "1"));
+    }
+}
+
+RC_GTEST_PROP(HttpReplies, AnyBytesAreReadOrRefused,
+              (const std::string& bytes, std::uint8_t at, char other)) {
+    std::size_t stored = 0;
+    const auto hear = [&](net::HttpReplies::Reply&& reply) {
+        stored = reply.body.size() + reply.headers.size();
+    };
+    net::HttpReplies(hear).read(bytes);
+    std::string reply = testing::HttpStandIn::reply(200, bytes, "A: b\r\n");
+    reply[at % reply.size()] = other;
+    net::HttpReplies(hear).read(reply);
+    RC_ASSERT(stored <= reply.size() + 4);
+}
+
+TEST(HttpReplies, RefusesWhatIsTooLongOrBehindAReply) {
+    const auto hear = [](net::HttpReplies::Reply&&) {};
+    EXPECT_FALSE(net::HttpReplies(hear).read(testing::HttpStandIn::reply(200, std::string(70000, 'x'))));
+    EXPECT_FALSE(net::HttpReplies(hear).read(testing::HttpStandIn::reply(204) + "x"));
+}
+
+}  // namespace
+}  // namespace cottonwing
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -1,18 +1,28 @@
-// A backend with its sidecars left out: keeps what the module wrote and judges it by a model of the four
-// rules that shares nothing with the module's own books.
+// For the module: a backend with its sidecars left out, which keeps what the module wrote and judges it by a
+// model of the four rules that shares nothing with the module's own books. For the program: stand-ins on
+// loopback for the pool, the records service, the registry and a sidecar, turned by the program's own loop.
 #pragma once
 
 #include <gtest/gtest.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
 
 #include <algorithm>
 #include <chrono>
+#include <fstream>
+#include <functional>
+#include <list>
 #include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
 #include <numeric>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
 #include "logic.h"
+#include "server.h"
 
 namespace cottonwing::testing {
 
@@ -235,4 +245,424 @@
     }
 };
 
+// ---- the program on loopback ----------------------------------------------------------------------------
+
+using Json = nlohmann::json;
+using Reply = std::map<std::string, std::string>;
+
+// Turns the loop until it is so; a limit that only a defect reaches.
+template <typename Condition>
+void until(net::Loop& loop, Condition&& condition, Nanos limit = 20s) {
+    bool late = false;
+    net::Timer watch(loop, [&] { late = true; });
+    watch.start(limit);
+    // A turn that has run its timers may wait for more: the tick has it look again.
+    net::Timer tick(loop, [] {});
+    while (!condition() && !late) {
+        tick.start(10ms);
+        loop.turnOnce();
+    }
+    ASSERT_FALSE(late) << "waited for in vain";
+}
+
+// Accepts on loopback, and hands on what is heard on each connection.
+class StandIn : private net::Owner {
+public:
+    using Heard = std::function<void(net::Connection&, std::string&)>;  // takes what it can use off the text
+    StandIn(net::Loop& loop, Heard heard, int port = 0)
+        : heard_(std::move(heard)),
+          listener_(std::make_unique<net::Listener>(
+              loop, net::Address{"127.0.0.1", port},
+              [this, &loop](uv_stream_t* listener) {
+                  ++accepted;
+                  Line line;
+                  line.connection = newConnection(loop, listener);
+                  lines.push_back(std::move(line));
+              },
+              [] { return false; })) {}
+    net::Address address() const { return {"127.0.0.1", listener_->port()}; }
+    void stopListening() { listener_.reset(); }
+    void hangUp() { lines.clear(); }
+    void hangUp(net::Connection& on) {
+        std::erase_if(lines, [&](const Line& line) { return line.connection.get() == &on; });
+    }
+
+    struct Line {
+        std::unique_ptr<net::Connection> connection;
+        std::string text;
+    };
+    std::list<Line> lines;
+    int accepted = 0;
+
+private:
+    std::unique_ptr<net::Connection> newConnection(net::Loop& loop, uv_stream_t* listener) {
+        return std::unique_ptr<net::Connection>(
+            new net::Connection(loop, listener, *this, {1 << 20, 1 << 20}));
+    }
+    void arrived(net::Connection& from) override {
+        const auto line = std::find_if(lines.begin(), lines.end(),
+                                       [&](const Line& l) { return l.connection.get() == &from; });
+        std::string scratch;
+        line->text += from.input().peek(from.input().size(), scratch);
+        from.input().drop(from.input().size());
+        heard_(from, line->text);
+    }
+    void ended(net::Connection& of, net::ConnectionEnd) override { hangUp(of); }
+
+    Heard heard_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+// The worker pool: keeps what it is told, and what a test makes it say.
+class Pool {
+public:
+    explicit Pool(net::Loop& loop)
+        : server(loop, [this](net::Connection& on, std::string& t) { hear(on, t); }) {}
+
+    void say(Json notice) {
+        notice["n"] = ++last;
+        said.push_back(notice);
+        if (!server.lines.empty() && boundOn == server.accepted) send(notice);
+    }
+    void finish(const std::string& job, const std::string& state = "ok", const std::string& result = "") {
+        running.erase(job);
+        say({{"type", "finished"},
+             {"job", job},
+             {"state", state},
+             {"took", 5},
+             {"data", runs::encode64(result)}});
+    }
+    void block(const std::string& job, const std::string& body) {
+        say({{"type", "blocked"}, {"job", job}, {"data", runs::encode64(body)}});
+    }
+    void send(const Json& line) { server.lines.back().connection->send(line.dump() + "\n"); }
+
+    bool up = true, answersPolls = true;
+    std::string verifies = "ok";
+    std::map<std::string, std::string> running, supplied, kinds;  // by job: body, reply, profile
+    std::vector<std::string> halted, refused;
+    std::vector<Json> binds, said;
+    int starts = 0, polls = 0, checks = 0, boundOn = 0;
+    std::uint64_t last = 0;
+    StandIn server;
+
+private:
+    void hear(net::Connection&, std::string& text) {
+        for (std::size_t end; (end = text.find('\n')) != text.npos; text.erase(0, end + 1)) {
+            const Json all = Json::parse(text.substr(0, end));
+            const std::string type = all["type"], job = all.value("job", "");
+            const std::string data = runs::decode64(all.value("data", "")).value();
+            if (type == "bind") {
+                binds.push_back(all);
+                boundOn = server.accepted;
+                if (!up) continue;
+                send({{"type", "bound"}, {"state", "warm"}, {"took", 60000}});
+                for (const Json& notice : said)
+                    if (notice["n"] > all["n"]) send(notice);
+            } else if (type == "spawn") {
+                ++starts;
+                kinds[job] = all["kind"];
+                if (std::erase(refused, job) > 0)
+                    send({{"type", "unknown"}, {"state", "spawn"}, {"job", job}});
+                else
+                    running.emplace(job, data);
+            } else if (type == "suspend") {
+                halted.push_back(job);
+                if (running.contains(job)) finish(job, "halted");
+            } else if (type == "supply") {
+                supplied[job] = data;
+            } else if (type == "poll") {
+                ++polls;
+                if (answersPolls)
+                    send({{"type", "polled"}, {"ref", all["ref"]}, {"gauges", {0.4, 2.0, 0.3, 5}}});
+            } else if (type == "verify") {
+                ++checks;
+                if (!verifies.empty()) send({{"type", "verified"}, {"ref", all["ref"]}, {"state", verifies}});
+            } else {
+                ADD_FAILURE() << "the pool was told " << type;
+            }
+        }
+    }
+};
+
+// An HTTP/1.1 server; answers by a function, or holds the call back where that says nothing.
+class HttpStandIn {
+public:
+    using Answer =
+        std::function<std::string(net::Connection&, const std::string& head, const std::string& body)>;
+    HttpStandIn(net::Loop& loop, Answer theAnswer, int port = 0)
+        : answer(std::move(theAnswer)),
+          server(
+              loop,
+              [this](net::Connection& on, std::string& text) {
+                  const std::size_t end = text.find("\r\n\r\n");
+                  if (end == text.npos) return;
+                  const std::size_t length = std::stoul(text.substr(text.find("Content-Length: ") + 16));
+                  if (text.size() < end + 4 + length) return;
+                  const std::string head = text.substr(0, end + 2), body = text.substr(end + 4, length);
+                  text.clear();
+                  heads.push_back(head);
+                  bodies.push_back(body);
+                  const std::string reply = answer(on, head, body);
+                  if (!reply.empty()) on.send(reply);
+              },
+              port) {}
+    static std::string reply(int status, const std::string& body = "", const std::string& headers = "") {
+        return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + headers +
+               (status == 204 ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" +
+               body;
+    }
+    static std::string header(const std::string& head, const std::string& name) {
+        const std::size_t at = head.find("\r\n" + name + ": ");
+        if (at == head.npos) return "";
+        const std::size_t from = at + name.size() + 4;
+        return head.substr(from, head.find("\r\n", from) - from);
+    }
+
+    Answer answer;
+    std::vector<std::string> heads, bodies;
+    StandIn server;
+};
+
+// Frames as the published Thrift library writes and reads them.
+namespace frames {
+
+using apache::thrift::protocol::TBinaryProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+namespace protocol = apache::thrift::protocol;
+
+template <typename Write>
+std::string frame(const std::string& method, protocol::TMessageType kind, std::int32_t sequence,
+                  Write&& write) {
+    const auto memory = std::make_shared<TMemoryBuffer>();
+    TBinaryProtocol out(memory);
+    out.writeMessageBegin(method, kind, sequence);
+    out.writeStructBegin("arguments");
+    write(out);
+    out.writeFieldStop();
+    out.writeStructEnd();
+    out.writeMessageEnd();
+    const std::string content = memory->getBufferAsString();
+    std::string head;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        head.push_back(static_cast<char>(content.size() >> shift & 0xff));
+    return head + content;
+}
+
+inline std::string serve(std::int32_t sequence, const Reply& fields, const std::string& body) {
+    return frame("serve", protocol::T_CALL, sequence, [&](TBinaryProtocol& out) {
+        out.writeFieldBegin("fields", protocol::T_MAP, 1);
+        out.writeMapBegin(protocol::T_STRING, protocol::T_STRING, static_cast<std::uint32_t>(fields.size()));
+        for (const auto& [name, value] : fields) out.writeString(name), out.writeString(value);
+        out.writeFieldBegin("body", protocol::T_STRING, 2);
+        out.writeBinary(body);
+    });
+}
+inline std::string forget(std::int32_t sequence, std::int32_t which) {
+    return frame("forget", protocol::T_ONEWAY, sequence, [&](TBinaryProtocol& out) {
+        out.writeFieldBegin("seqid", protocol::T_I32, 1);
+        out.writeI32(which);
+    });
+}
+inline std::string isWell(std::int32_t sequence, bool thorough) {
+    return frame("isWell", protocol::T_CALL, sequence, [&](TBinaryProtocol& out) {
+        out.writeFieldBegin("thorough", protocol::T_BOOL, 1);
+        out.writeBool(thorough);
+    });
+}
+
+struct Read {
+    std::string method, kind, body;  // kind: answer, busy, failed, refusal, oneway
+    std::int32_t sequence = 0;
+    Reply fields;
+    bool good = false;
+};
+
+inline void readFields(TBinaryProtocol& in, Read& read) {
+    std::string name;
+    protocol::TType type, key, value;
+    std::int16_t id;
+    for (in.readFieldBegin(name, type, id); type != protocol::T_STOP; in.readFieldBegin(name, type, id)) {
+        if (type == protocol::T_STRING) {
+            in.readBinary(read.body);
+        } else if (type == protocol::T_BOOL) {
+            in.readBool(read.good);
+        } else if (type == protocol::T_MAP) {
+            std::uint32_t size;
+            in.readMapBegin(key, value, size);
+            for (std::uint32_t i = 0; i < size; ++i) {
+                std::string first, second;
+                in.readString(first), in.readString(second);
+                read.fields[first] = second;
+            }
+        } else {
+            in.skip(type);
+        }
+    }
+}
+
+inline Read read(const std::string& content) {
+    const auto memory = std::make_shared<TMemoryBuffer>();
+    memory->write(reinterpret_cast<const std::uint8_t*>(content.data()),
+                  static_cast<std::uint32_t>(content.size()));
+    TBinaryProtocol in(memory, 0, 0, true, true);
+    Read read;
+    protocol::TMessageType kind;
+    in.readMessageBegin(read.method, kind, read.sequence);
+    if (kind == protocol::T_REPLY) {
+        std::string name;
+        protocol::TType type;
+        std::int16_t id;
+        in.readFieldBegin(name, type, id);
+        read.kind = id == 0 ? "answer" : id == 1 ? "busy" : "failed";
+    } else {
+        read.kind = kind == protocol::T_ONEWAY ? "oneway" : "refusal";
+    }
+    readFields(in, read);
+    return read;
+}
+
+}  // namespace frames
+
+// A sidecar's connection.
+class Sidecar : private net::Owner {
+public:
+    Sidecar(net::Loop& loop, int port)
+        : connection(new net::Connection(loop, {"127.0.0.1", port}, *this, {1 << 20, 1 << 20})) {}
+
+    static std::string trace(int number) {
+        char text[17];
+        std::snprintf(text, sizeof text, "%016x", number);
+        return text;
+    }
+    static Reply fields(int number, const std::string& route = "read", int patience = 4000) {
+        return {{"route", route}, {"trace", trace(number)}, {"born", std::to_string(net::unixNow() / 1ms)},
+                {"client", "4"},  {"customer", "acme"},     {"patience", std::to_string(patience)},
+                {"size", "12.5"}, {"weight", "20.00"},      {"order", "0.5"}};
+    }
+    // Asks under a new sequence number, which it returns.
+    std::int32_t ask(int number, const std::string& body = "body", const std::string& route = "read",
+                     int patience = 4000) {
+        say(frames::serve(++sequence, fields(number, route, patience), body));
+        return sequence;
+    }
+    void say(const std::string& bytes) { connection->send(bytes); }
+    void hangUp() { connection.reset(); }
+
+    std::unique_ptr<net::Connection> connection;
+    std::int32_t sequence = 0;
+    std::vector<frames::Read> heard;
+    std::map<std::int32_t, frames::Read> answers;  // by sequence number
+    int twice = 0, goaways = 0;
+    bool gone = false;
+
+private:
+    void arrived(net::Connection& from) override {
+        std::size_t length = 0;
+        std::string scratch;
+        while (intake::lookForFrame(from.input(), length) == intake::FrameState::Whole) {
+            heard.push_back(frames::read(std::string(from.input().peek(4 + length, scratch).substr(4))));
+            from.input().drop(4 + length);
+            if (heard.back().method == "goaway")
+                ++goaways;
+            else if (!answers.emplace(heard.back().sequence, heard.back()).second)
+                ++twice;
+        }
+    }
+    void ended(net::Connection&, net::ConnectionEnd) override {
+        gone = true;
+        connection.reset();
+    }
+};
+
+inline Json plainSettings() {
+    return Json::parse(R"({
+        "classes": [{"name": "read", "repeat": "free", "aim_us": 3400000, "deadline_us": 8000000, "worth": 1},
+                    {"name": "look", "repeat": "free", "aim_us": 2300000, "deadline_us": 5000000, "worth": 5}],
+        "tenants": [{"name": "acme", "quota_per_s": 1000.0}],
+        "family_info": {"below": "shared", "calls_over_us": 5000000, "class_calls": [true, false], "cores": 6,
+            "degraded_worth": [0, 0], "dep_share": 40, "halt": "suspend", "heap_kb": 30000, "idle_us": 30000000,
+            "linger_us": 200000, "own_stats": ["core_use", "on_cores", "heap_share", "links"],
+            "readiness": true, "run_factor": 4, "senders": 3, "signal": "share_of"},
+        "obligations": {"drain_grace_us": 200000, "fall_multiple": 8, "overload_for_us": 1500000},
+        "permissions": {"max_retry_after_us": 1000000, "retry_after": true}, "peers_total": 3})");
+}
+
+inline Json plainStart() {
+    return {{"name", "n3"},
+            {"listen", "127.0.0.1:0"},
+            {"pool", "127.0.0.1:1"},
+            {"registry", "127.0.0.1:1"},
+            {"records", "127.0.0.1:1"},
+            {"seed", "8c1f30d27a5be964"},
+            {"stop_ms", 1500},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 256}}},
+            {"settings", plainSettings()}};
+}
+
+// As readStart reads it, from a file of the test's own.
+inline launch::Start startOf(const Json& all,
+                             Reply variables = {{"GW_NAME", "n3"}, {"GW_LISTEN", "127.0.0.1:0"}}) {
+    const std::string path = ::testing::TempDir() + "cottonwing-start.json";
+    std::ofstream(path) << all.dump();
+    variables.emplace("GW_CONFIG", path);
+    return launch::readStart([&](const char* key) -> const char* {
+        const auto found = variables.find(key);
+        return found == variables.end() ? nullptr : found->second.c_str();
+    });
+}
+
+// One backend and all that it talks to, on one loop.
+class Stage {
+public:
+    explicit Stage(Json start = plainStart())
+        : pool(loop),
+          records(loop, [](net::Connection&, const std::string&,
+                           const std::string& body) { return HttpStandIn::reply(200, "re:" + body); }),
+          registry(loop, [](net::Connection&, const std::string&,
+                            const std::string&) { return HttpStandIn::reply(204); }),
+          log(lines, report::Level::Debug),
+          server([&]() -> launch::Start {
+              launch::Start told = startOf(start);
+              told.pool = pool.server.address();
+              told.records = records.server.address();
+              told.registry = registry.server.address();
+              return told;
+          }()) {
+        loop.onTrouble([](const std::string& what) { ADD_FAILURE() << what; });
+        program = std::make_unique<Server>(loop, server, log, counters);
+    }
+    void bound() {
+        until(loop, [&] { return program->backend().well(); });
+    }
+    template <typename Condition>
+    void wait(Condition&& condition) {
+        until(loop, condition);
+    }
+    int port() const { return program->sidecars().port(); }
+    std::uint64_t count(report::Count kind) const { return counters.of(kind); }
+    std::uint64_t count(net::ConnectionEnd end) const { return counters.of(end); }
+    // Each command read has one kind of answer, or its caller left.
+    void expectBooksClosed() const {
+        using report::Count;
+        EXPECT_EQ(count(Count::CommandsRead), count(Count::Handled) + count(Count::Bounced) +
+                                                  count(Count::Scrapped) + count(Count::CallersLeft));
+        EXPECT_EQ(count(Count::CallsBegun), count(Count::CallsOk) + count(Count::CallsError) +
+                                                count(Count::CallsFull) + count(Count::CallsTimedOut) +
+                                                count(Count::CallsUnreachable) + count(Count::CallsBroken) +
+                                                count(Count::CallsMoot) + count(Count::CallsGivenUp));
+        EXPECT_EQ(program->backend().inHand(), 0U);
+        EXPECT_EQ(program->records().out(), 0U);
+    }
+
+    net::Loop loop;
+    Pool pool;
+    HttpStandIn records, registry;
+    std::ostringstream lines;
+    report::Log log;
+    report::Counters counters;
+    launch::Start server;
+    std::unique_ptr<Server> program;
+};
+
 }  // namespace cottonwing::testing
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,179 @@
+// Rings against a plain string, how connections end, timers, the log and what a start is refused for.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "helpers.h"
+
+namespace cottonwing {
+namespace {
+
+using namespace std::chrono_literals;
+using net::ConnectionEnd;
+using testing::Json;
+
+RC_GTEST_PROP(Ring, HoldsWhatAStringWould, (const std::vector<std::string>& pieces, std::uint8_t drops)) {
+    net::Ring ring(64);
+    std::string model, scratch;
+    for (const std::string& piece : pieces) {
+        const bool fits = model.size() + piece.size() <= 64;
+        RC_ASSERT(ring.write(piece) == fits);
+        if (fits) model += piece;
+        RC_ASSERT(ring.peek(model.size(), scratch) == model);
+        RC_ASSERT(ring.find('a', 0) == std::min(model.find('a'), model.size()));
+        const std::size_t gone = std::min<std::size_t>(model.size(), drops % 23);
+        ring.drop(gone);
+        model.erase(0, gone);
+        RC_ASSERT(ring.size() == model.size() && ring.size() + ring.room() == 64);
+        RC_ASSERT(ring.capacity() <= 64);
+    }
+}
+
+TEST(Ring, GrowsAsNeededAndLetsGoOfMuch) {
+    net::Ring ring(1 << 20);
+    EXPECT_EQ(ring.capacity(), 0U);
+    ASSERT_TRUE(ring.write("x"));
+    EXPECT_LE(ring.capacity(), 2048U);
+    const auto pinned = ring.pin();  // a write in progress reads from here
+    ASSERT_TRUE(ring.write(std::string(100000, 'y')));
+    EXPECT_EQ(pinned[0], 'x');
+    ring.drop(ring.size());
+    EXPECT_EQ(ring.capacity(), 0U);
+}
+
+TEST(ConnectionEnd, HasOneOutcomeEach) {
+    const std::map<ConnectionEnd, Outcome> expected = {{ConnectionEnd::PeerClosed, Outcome::Broken},
+                                                       {ConnectionEnd::Reset, Outcome::Broken},
+                                                       {ConnectionEnd::ConnectRefused, Outcome::Unreachable},
+                                                       {ConnectionEnd::ConnectTimedOut, Outcome::Unreachable},
+                                                       {ConnectionEnd::TimedOut, Outcome::TimedOut},
+                                                       {ConnectionEnd::Abandoned, Outcome::Cancelled},
+                                                       {ConnectionEnd::Malformed, Outcome::Broken},
+                                                       {ConnectionEnd::TooLong, Outcome::Broken},
+                                                       {ConnectionEnd::Unused, Outcome::Broken},
+                                                       {ConnectionEnd::Leaving, Outcome::Cancelled}};
+    ASSERT_EQ(expected.size(), static_cast<std::size_t>(net::kConnectionEnds));
+    std::set<std::string> names;
+    for (const auto& [end, outcome] : expected) {
+        EXPECT_EQ(net::outcomeOf(end), outcome) << net::nameOf(end);
+        names.insert(net::nameOf(end));
+    }
+    EXPECT_EQ(names.size(), expected.size());
+}
+
+TEST(Timer, RingsOnceAndNeverEarly) {
+    net::Loop loop;
+    int rings = 0;
+    Nanos at{0};
+    net::Timer timer(loop, [&] { ++rings, at = net::unixNow(); });
+    const Nanos from = net::unixNow();
+    timer.start(20ms);
+    timer.start(10500us);  // in place of the first
+    testing::until(loop, [&] { return rings > 0; });
+    EXPECT_GE(at - from, 10500us);
+    bool after = false;
+    net::Timer later(loop, [&] { after = true; });
+    later.start(30ms);
+    testing::until(loop, [&] { return after; });
+    EXPECT_EQ(rings, 1);
+}
+
+TEST(Loop, KeepsWhatAHandlerThrowsFromTheLibrary) {
+    net::Loop loop;
+    std::string trouble;
+    loop.onTrouble([&](const std::string& what) { trouble = what; });
+    net::Timer timer(loop, [] { throw std::runtime_error("thrown"); });
+    timer.start(0ns);
+    testing::until(loop, [&] { return !trouble.empty(); });
+    EXPECT_EQ(trouble, "thrown");
+}
+
+TEST(Log, FiltersByLevelAndCutsStorms) {
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Warn);
+    log.info("kind", "not taken");
+    EXPECT_EQ(lines.str(), "");
+    for (int i = 0; i < 100; ++i) log.warn("kind", "storm");
+    log.warn("other", "heard");
+    const std::string text = lines.str();
+    EXPECT_LE(std::count(text.begin(), text.end(), '\n'), 20);
+    EXPECT_NE(text.find("warn other: heard"), text.npos);
+}
+
+TEST(Counters, ArePrintedByName) {
+    report::Counters counters;
+    counters.add(report::Count::Handled);
+    counters.addEnd(ConnectionEnd::Reset);
+    std::ostringstream line;
+    counters.print(line);
+    EXPECT_NE(line.str().find(" handled=1 "), std::string::npos);
+    EXPECT_NE(line.str().find(" end-reset=1 "), std::string::npos);
+    EXPECT_NE(line.str().find(" reports-failed=0 "), std::string::npos);
+}
+
+TEST(Start, ReadsWhatItIsTold) {
+    const launch::Start start = testing::startOf(testing::plainStart());
+    EXPECT_EQ(start.name, "n3");
+    EXPECT_EQ(start.stopAfter, 1500ms);
+    EXPECT_EQ(start.terms.seed, 0x8c1f30d27a5be964U);
+    EXPECT_EQ(start.terms.profiles.size(), 2U);
+    EXPECT_EQ(start.terms.profiles[1].promised, 2300ms);
+    EXPECT_EQ(start.names.customers.at("acme"), 0);
+    EXPECT_TRUE(start.listFollowsHealth);
+    EXPECT_EQ(start.gauges.size(), 4U);
+}
+
+TEST(Start, NamesTheKeyItRefuses) {
+    using Change = std::function<void(Json&)>;
+    const std::vector<std::pair<std::string, Change>> cases = {
+        {"name", [](Json& all) { all["name"] = "n4"; }},
+        {"listen", [](Json& all) { all["listen"] = "127.0.0.1:9"; }},
+        {"pool", [](Json& all) { all.erase("pool"); }},
+        {"pool", [](Json& all) { all["pool"] = "localhost"; }},
+        {"records", [](Json& all) { all["records"] = "127.0.0.1:x"; }},
+        {"registry", [](Json& all) { all["registry"] = "127.0.0.1:70000"; }},
+        {"seed", [](Json& all) { all["seed"] = "xyz"; }},
+        {"stop_ms", [](Json& all) { all["stop_ms"] = 0; }},
+        {"limits", [](Json& all) { all["limits"] = 4; }},
+        {"limits.sockets", [](Json& all) { all["limits"]["sockets"] = 8; }},
+        {"limits.memory_mb", [](Json& all) { all["limits"].erase("memory_mb"); }},
+        {"settings", [](Json& all) { all.erase("settings"); }},
+        {"classes", [](Json& all) { all["settings"]["classes"] = Json::array(); }},
+        {"worth", [](Json& all) { all["settings"]["classes"][0]["worth"] = "much"; }},
+        {"repeat", [](Json& all) { all["settings"]["classes"][0]["repeat"] = "often"; }},
+        {"repeat", [](Json& all) { all["settings"]["classes"][0]["repeat"] = "guarded"; }},
+        {"deadline_us", [](Json& all) { all["settings"]["classes"][0].erase("deadline_us"); }},
+        {"degraded_worth",
+         [](Json& all) {
+             all["settings"]["family_info"]["degraded_worth"] = {0, 0.5};
+         }},
+        {"below", [](Json& all) { all["settings"]["family_info"]["below"] = "tier"; }},
+        {"cores", [](Json& all) { all["settings"]["family_info"].erase("cores"); }},
+        {"heap_kb", [](Json& all) { all["settings"]["family_info"]["heap_kb"] = -1; }},
+        {"own_stats", [](Json& all) { all["settings"]["family_info"]["own_stats"] = 3; }},
+        {"readiness", [](Json& all) { all["settings"]["family_info"]["readiness"] = 3; }}};
+    for (const auto& [key, change] : cases) {
+        Json all = testing::plainStart();
+        change(all);
+        try {
+            testing::startOf(all);
+            ADD_FAILURE() << "taken in spite of " << key;
+        } catch (const launch::BadKey& error) {
+            EXPECT_NE(std::string(error.what()).find(key + ": "), std::string::npos) << error.what();
+        }
+    }
+    const auto refused = [](const std::string& key, const testing::Reply& variables) {
+        try {
+            testing::startOf(testing::plainStart(), variables);
+            ADD_FAILURE() << "taken in spite of " << key;
+        } catch (const launch::BadKey& error) {
+            EXPECT_EQ(std::string(error.what()).substr(0, key.size()), key);
+        }
+    };
+    refused("GW_NAME", {{"GW_LISTEN", "127.0.0.1:0"}});
+    refused("GW_LISTEN", {{"GW_NAME", "n3"}, {"GW_LISTEN", "here"}});
+    refused("GW_CONFIG", {{"GW_NAME", "n3"}, {"GW_LISTEN", "127.0.0.1:0"}, {"GW_CONFIG", "/nowhere"}});
+    refused("GW_LOG", {{"GW_NAME", "n3"}, {"GW_LISTEN", "127.0.0.1:0"}, {"GW_LOG", "loud"}});
+}
+
+}  // namespace
+}  // namespace cottonwing
--- /dev/null
+++ b/tests/server_test.cpp
@@ -0,0 +1,608 @@
+// The whole program against stand-ins on loopback, on one loop and with conditions waited for.
+#include <sys/resource.h>
+
+#include <random>
+
+#include "helpers.h"
+
+namespace cottonwing {
+namespace {
+
+using namespace std::chrono_literals;
+using net::ConnectionEnd;
+using report::Count;
+using testing::HttpStandIn;
+using testing::Json;
+using testing::Sidecar;
+using testing::Stage;
+namespace frames = testing::frames;
+
+// A stage whose backend is bound, with one sidecar.
+struct Served : Stage {
+    explicit Served(Json start = testing::plainStart()) : Stage(std::move(start)) {
+        bound();
+        sidecar = std::make_unique<Sidecar>(loop, port());
+    }
+    const frames::Read& answer(std::int32_t sequence) {
+        wait([&] { return sidecar->answers.contains(sequence); });
+        return sidecar->answers[sequence];
+    }
+    void running(int number) {
+        wait([&] { return pool.running.contains(Sidecar::trace(number)); });
+    }
+    void finish(int number, const std::string& state = "ok", const std::string& result = "") {
+        pool.finish(Sidecar::trace(number), state, result);
+    }
+    // A command that waits at its call below.
+    std::int32_t atCall(int number, const std::string& body = "call") {
+        const std::int32_t sequence = sidecar->ask(number);
+        running(number);
+        pool.block(Sidecar::trace(number), body);
+        return sequence;
+    }
+    // Not from under the handler of that very connection.
+    void hangUpSoon(net::Connection& from) {
+        soon = std::make_unique<net::Timer>(loop, [&] { records.server.hangUp(from); });
+        soon->start(0ns);
+    }
+    std::unique_ptr<Sidecar> sidecar;
+    std::unique_ptr<net::Timer> soon;
+};
+
+const std::string kAnyBytes("\0\n\r\"\xff\x80{}", 9);
+
+TEST(Intake, HandlesACommandByteForByte) {
+    Served on;
+    const std::int32_t sequence = on.sidecar->ask(1, kAnyBytes);
+    on.running(1);
+    EXPECT_EQ(on.pool.running.at(Sidecar::trace(1)), kAnyBytes);
+    EXPECT_EQ(on.pool.kinds.at(Sidecar::trace(1)), "read");
+    on.finish(1, "ok", "result" + kAnyBytes);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+    EXPECT_TRUE(on.answer(sequence).good);
+    EXPECT_EQ(on.answer(sequence).body, "result" + kAnyBytes);
+    on.expectBooksClosed();
+}
+
+TEST(Intake, TakesFramesHoweverTheyAreCut) {
+    Served on;
+    std::string bytes =
+        frames::serve(1, Sidecar::fields(1), "one") + frames::serve(2, Sidecar::fields(2), "two");
+    for (const char byte : bytes) {
+        on.sidecar->say({&byte, 1});
+        on.loop.turnOnce();
+    }
+    on.running(1);
+    on.running(2);
+    EXPECT_EQ(on.pool.running.at(Sidecar::trace(2)), "two");
+}
+
+TEST(Intake, AnswersThirtyTwoInAnyOrder) {
+    Served on;
+    for (int i = 1; i <= 32; ++i) on.sidecar->ask(i, "b" + std::to_string(i));
+    std::mt19937 chance(7);
+    on.wait([&] {
+        if (!on.pool.running.empty()) {
+            auto job = on.pool.running.begin();
+            std::advance(job, static_cast<long>(chance() % on.pool.running.size()));
+            const std::string name = job->first, body = job->second;
+            on.pool.finish(name, "ok", "r" + body);
+        }
+        return on.sidecar->answers.size() == 32;
+    });
+    for (const auto& [sequence, answer] : on.sidecar->answers)
+        EXPECT_EQ(answer.body, "rb" + std::to_string(sequence));
+    EXPECT_EQ(on.sidecar->twice, 0);
+    on.expectBooksClosed();
+}
+
+TEST(Intake, ARunThatFailsIsScrapped) {
+    Served on;
+    const std::int32_t sequence = on.sidecar->ask(1);
+    on.running(1);
+    on.finish(1, "failed");
+    EXPECT_EQ(on.answer(sequence).kind, "failed");
+}
+
+TEST(Intake, BadInputClosesItsConnectionAlone) {
+    Served on;
+    const std::int32_t kept = on.sidecar->ask(1);
+    on.running(1);
+    const std::string twice =
+        frames::serve(5, Sidecar::fields(5), "") + frames::serve(5, Sidecar::fields(6), "");
+    std::string many;
+    for (int i = 100; i < 133; ++i) many += frames::serve(i, Sidecar::fields(i), "");
+    const std::vector<std::string> bad = {std::string("\x7f\0\0\0", 4), std::string("\0\0\0\x02xx", 6),
+                                          "GET / HTTP/1.1\r\n\r\n", twice, many};
+    for (const std::string& bytes : bad) {
+        Sidecar other(on.loop, on.port());
+        other.say(bytes);
+        on.wait([&] { return other.gone; });
+        EXPECT_TRUE(other.answers.empty());
+    }
+    EXPECT_EQ(on.count(Count::BadFrames), bad.size());
+    EXPECT_EQ(on.count(ConnectionEnd::TooLong) + on.count(ConnectionEnd::Malformed), bad.size());
+    EXPECT_NE(on.lines.str().find("warn sidecar: a frame is malformed"), std::string::npos);
+    on.finish(1);
+    EXPECT_EQ(on.answer(kept).kind, "answer");
+}
+
+TEST(Intake, WhatCannotBeReadGetsAnApplicationException) {
+    Served on;
+    const auto with = [](const std::string& key, const std::string& value) {
+        testing::Reply fields = Sidecar::fields(9);
+        value.empty() ? (void)fields.erase(key) : (void)(fields[key] = value);
+        return fields;
+    };
+    const std::vector<testing::Reply> bad = {
+        with("route", "write"), with("route", ""),      with("customer", "nobody"), with("trace", "12"),
+        with("born", ""),       with("born", "1e3"),    with("patience", "-4"),     with("size", ""),
+        with("size", "0"),      with("size", "2000.5"), with("weight", "nan"),      with("order", "x")};
+    std::int32_t sequence = 0;
+    for (const testing::Reply& fields : bad) {
+        on.sidecar->say(frames::serve(++sequence, fields, "body"));
+        EXPECT_EQ(on.answer(sequence).kind, "refusal") << sequence;
+    }
+    on.sidecar->say(frames::serve(++sequence, Sidecar::fields(9), std::string(2049, 'x')));
+    EXPECT_EQ(on.answer(sequence).kind, "refusal");
+    on.sidecar->say(
+        frames::frame("other", frames::protocol::T_CALL, ++sequence, [](frames::TBinaryProtocol&) {}));
+    EXPECT_EQ(on.answer(sequence).kind, "refusal");
+    on.sidecar->say(frames::serve(++sequence, Sidecar::fields(9), ""));
+    on.sidecar->say(frames::serve(++sequence, Sidecar::fields(9), ""));
+    EXPECT_EQ(on.answer(sequence).kind, "refusal");  // its trace is in hand already
+    EXPECT_EQ(on.count(Count::CommandsRefused), static_cast<std::uint64_t>(sequence - 1));
+    EXPECT_EQ(on.count(Count::CommandsRead), 1U);
+    EXPECT_FALSE(on.sidecar->gone);
+}
+
+TEST(Intake, ForgetBeforeWhileAndAfterARun) {
+    Served on;
+    // Before: read and forgotten in one turn, it never starts.
+    on.sidecar->say(frames::serve(1, Sidecar::fields(1), "") + frames::forget(2, 1));
+    on.wait([&] { return on.count(Count::CallersLeft) == 1; });
+    // While: it is halted, and its place is free once that is told.
+    on.sidecar->sequence = 2;
+    const std::int32_t second = on.sidecar->ask(2);
+    on.running(2);
+    on.sidecar->say(frames::forget(4, second));
+    on.wait([&] { return on.program->backend().inHand() == 0; });
+    EXPECT_EQ(on.pool.halted, std::vector<std::string>{Sidecar::trace(2)});
+    // After.
+    on.sidecar->sequence = 4;
+    const std::int32_t third = on.sidecar->ask(3);
+    on.running(3);
+    on.finish(3);
+    on.answer(third);
+    on.sidecar->say(frames::forget(6, third));
+    on.wait([&] { return on.count(Count::Forgotten) == 3; });
+    EXPECT_EQ(on.sidecar->answers.size(), 1U);
+    EXPECT_EQ(on.pool.starts, 2);
+    on.expectBooksClosed();
+}
+
+TEST(Intake, AConnectionThatEndsIsItsCallersLeaving) {
+    Served on;
+    on.sidecar->ask(1);
+    on.sidecar->ask(2);
+    on.running(2);
+    on.sidecar->hangUp();
+    on.wait([&] { return on.program->backend().inHand() == 0; });
+    EXPECT_EQ(on.count(Count::CallersLeft), 2U);
+    EXPECT_EQ(on.count(ConnectionEnd::PeerClosed) + on.count(ConnectionEnd::Reset), 1U);
+    on.expectBooksClosed();
+}
+
+TEST(Intake, AnswersOneWhoseTimeIsUpBeforeItsDueTime) {
+    Served on;
+    const Nanos from = net::unixNow();
+    const std::int32_t sequence = on.sidecar->ask(1, "", "read", 900);
+    EXPECT_EQ(on.answer(sequence).kind, "failed");
+    EXPECT_LT(net::unixNow() - from, 950ms);
+    on.wait([&] { return on.program->backend().inHand() == 0; });
+    EXPECT_EQ(on.pool.halted.size(), 1U);  // the run that nobody waits for any more
+    EXPECT_EQ(on.sidecar->twice, 0);
+    on.expectBooksClosed();
+}
+
+TEST(Intake, AReaderThatDoesNotReadCostsItsOwnConnection) {
+    Served on;
+    // A peer of the system's own that never reads, with a small window.
+    const int peer = socket(AF_INET, SOCK_STREAM, 0), small = 4096;
+    setsockopt(peer, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    sockaddr_in to{};
+    uv_ip4_addr("127.0.0.1", on.port(), &to);
+    ASSERT_EQ(connect(peer, reinterpret_cast<sockaddr*>(&to), sizeof to), 0);
+    std::string asks;
+    for (int i = 1; i <= 500; ++i) asks += frames::isWell(i, false);
+    std::size_t written = 0;
+    // It is read from only as long as its output has room: the writes get stuck.
+    for (int turns = 0, stuck = 0; stuck < 200 && turns < 100000; ++turns) {
+        const ssize_t now = send(peer, asks.data() + written % asks.size(),
+                                 asks.size() - written % asks.size(), MSG_DONTWAIT);
+        if (now > 0) written += static_cast<std::size_t>(now);
+        stuck = now > 0 ? 0 : stuck + 1;
+        uv_run(on.loop.raw(), UV_RUN_NOWAIT);
+    }
+    const std::int32_t sequence = on.sidecar->ask(1);
+    on.running(1);
+    on.finish(1);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+    const std::uint64_t seen = on.count(Count::HealthChecks);
+    EXPECT_LT(seen * 40, 64U << 20);  // a bounded backlog, far from all that was asked
+    close(peer);
+    on.wait([&] { return on.program->sidecars().connections() == 1; });
+}
+
+TEST(Health, TellsFromTheModuleAndFromWorkDone) {
+    Served on;
+    on.sidecar->say(frames::isWell(1, false));
+    EXPECT_TRUE(on.answer(1).good);
+    EXPECT_EQ(on.pool.checks, 0);
+    on.sidecar->say(frames::isWell(2, true));
+    EXPECT_TRUE(on.answer(2).good);
+    EXPECT_EQ(on.pool.checks, 1);
+    on.pool.verifies = "failed";
+    on.sidecar->say(frames::isWell(3, true));
+    EXPECT_FALSE(on.answer(3).good);
+    on.pool.verifies = "";  // no word: the wait has a limit, and the module's word stands
+    on.sidecar->say(frames::isWell(4, true));
+    EXPECT_TRUE(on.answer(4).good);
+    EXPECT_EQ(on.pool.checks, 3);
+    on.sidecar->ask(9);
+    on.running(9);
+    on.finish(9);
+    on.wait([&] { return on.count(Count::Handled) == 1; });
+    on.sidecar->say(frames::isWell(5 + 9, true));
+    EXPECT_TRUE(on.answer(5 + 9).good);
+    EXPECT_EQ(on.pool.checks, 3);  // a run just ended well: nothing to find out
+}
+
+TEST(Health, IsBadUntilTheMachineIsThere) {
+    Stage on;
+    on.pool.up = false;
+    Sidecar sidecar(on.loop, on.port());
+    sidecar.say(frames::isWell(1, false));
+    sidecar.sequence = 1;
+    sidecar.ask(1);
+    on.wait([&] { return sidecar.answers.size() == 2; });
+    EXPECT_FALSE(sidecar.answers[1].good);
+    EXPECT_EQ(sidecar.answers[2].kind, "busy");
+    on.wait([&] { return !on.pool.binds.empty(); });
+    on.pool.send({{"type", "bound"}, {"state", "cold"}, {"took", 3}});
+    on.bound();
+    on.expectBooksClosed();
+}
+
+TEST(PoolLink, ALostLinkIsCaughtUpWithAndToldAgain) {
+    Served on;
+    const std::int32_t first = on.sidecar->ask(1), second = on.sidecar->ask(2), third = on.sidecar->ask(3);
+    on.running(3);
+    on.pool.block(Sidecar::trace(3), "call");
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(3)); });
+    on.pool.server.hangUp();
+    // While there is no link: the end of one run is said to nobody, another run and a reply are lost.
+    on.finish(1, "ok", "while away");
+    on.pool.running.erase(Sidecar::trace(2));
+    on.pool.supplied.clear();
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(3)); });
+    EXPECT_EQ(on.answer(first).body, "while away");
+    EXPECT_EQ(on.pool.binds.back()["n"], 1);
+    EXPECT_TRUE(on.pool.running.contains(Sidecar::trace(2)));
+    EXPECT_EQ(on.pool.starts, 5);  // three, and again the two that have not ended
+    on.finish(2);
+    on.finish(3);
+    on.answer(second);
+    on.answer(third);
+    EXPECT_EQ(on.sidecar->twice, 0);
+    on.expectBooksClosed();
+}
+
+TEST(PoolLink, ANoticeThatWasSeenIsDropped) {
+    Served on;
+    const std::int32_t sequence = on.atCall(1);
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(1)); });
+    on.pool.send(on.pool.said.back());
+    on.pool.send({{"type", "chatter"}, {"n", ++on.pool.last}, {"state", "as it goes"}});
+    on.pool.server.lines.back().connection->send("{not a line}\n");
+    on.finish(1);
+    on.answer(sequence);
+    EXPECT_EQ(on.count(Count::CallsBegun), 1U);
+    EXPECT_EQ(on.count(Count::PoolUnreadable), 1U);
+}
+
+TEST(PoolLink, AStartThatIsNotCarriedOutIsScrapped) {
+    Served on;
+    on.pool.refused.push_back(Sidecar::trace(1));
+    EXPECT_EQ(on.answer(on.sidecar->ask(1)).kind, "failed");
+    EXPECT_EQ(on.count(Count::PoolUnknown), 1U);
+    on.expectBooksClosed();
+}
+
+TEST(PoolLink, RoundsGoOnWithoutGauges) {
+    Served on;
+    on.pool.answersPolls = false;
+    const int polls = on.pool.polls;
+    on.wait([&] { return on.pool.polls > polls + 10; });
+    const std::int32_t sequence = on.sidecar->ask(1);
+    on.running(1);
+    on.finish(1);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+}
+
+TEST(Records, AreMadeAndTheirRepliesSupplied) {
+    Served on;
+    const std::int32_t sequence = on.atCall(1, kAnyBytes);
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(1)); });
+    EXPECT_EQ(on.pool.supplied.at(Sidecar::trace(1)), "re:" + kAnyBytes);
+    EXPECT_EQ(on.records.bodies.at(0), kAnyBytes);
+    EXPECT_EQ(HttpStandIn::header(on.records.heads.at(0), "Op-Of"), Sidecar::trace(1));
+    EXPECT_GT(std::stoi(HttpStandIn::header(on.records.heads.at(0), "Op-Wait-Ms")), 100);
+    on.pool.block(Sidecar::trace(1), "second");
+    on.wait([&] { return on.records.bodies.size() == 2; });
+    on.wait([&] { return on.pool.supplied.at(Sidecar::trace(1)) == "re:second"; });
+    EXPECT_EQ(on.records.server.accepted, 1);  // on the kept connection
+    on.finish(1);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+    on.expectBooksClosed();
+}
+
+// Each reply, and each way in which the connection can end, is one kind of outcome.
+TEST(Records, EachReplyHasItsOutcome) {
+    const std::string notBegun = "Op-Not-Begun: 1\r\n";
+    const std::vector<std::pair<std::string, Count>> cases = {
+        {HttpStandIn::reply(503, "", notBegun), Count::CallsFull},
+        {HttpStandIn::reply(503), Count::CallsError},
+        {HttpStandIn::reply(500), Count::CallsError},
+        {HttpStandIn::reply(504), Count::CallsTimedOut},
+        {HttpStandIn::reply(409, "", notBegun), Count::CallsMoot},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nshort-and-more", Count::CallsBroken},
+        {"no reply\r\n\r\n", Count::CallsBroken},
+        {"hang up", Count::CallsBroken}};
+    for (const auto& [reply, kind] : cases) {
+        Served on;
+        on.records.answer = [&](net::Connection& from, const std::string&, const std::string&) {
+            if (reply != "hang up") return reply;
+            on.hangUpSoon(from);
+            return std::string();
+        };
+        on.atCall(1);
+        on.wait([&] { return on.count(kind) > 0; });
+    }
+}
+
+TEST(Records, OneNobodyAnswersTimesOutAndOneNobodyTakesIsUnreachable) {
+    Json start = testing::plainStart();
+    start["settings"]["classes"][0]["aim_us"] = 300000;
+    Served on(start);
+    on.records.answer = [](net::Connection&, const std::string&, const std::string&) {
+        return std::string();
+    };
+    on.atCall(1);
+    on.wait([&] { return on.count(Count::CallsTimedOut) > 0; });
+    EXPECT_GT(on.count(ConnectionEnd::TimedOut), 0U);
+    on.records.server.stopListening();
+    on.atCall(2);
+    on.wait([&] { return on.count(Count::CallsUnreachable) > 0; });
+    EXPECT_GT(on.count(ConnectionEnd::ConnectRefused), 0U);
+}
+
+TEST(Records, GivenUpWhenNobodyWaitsForThem) {
+    Served on;
+    on.records.answer = [](net::Connection&, const std::string&, const std::string&) {
+        return std::string();
+    };
+    const std::int32_t sequence = on.atCall(1);
+    on.wait([&] { return !on.records.heads.empty(); });
+    on.sidecar->say(frames::forget(2, sequence));
+    on.wait([&] { return on.records.server.lines.empty(); });  // its connection was closed
+    EXPECT_EQ(on.count(Count::CallsGivenUp), 1U);
+    on.finish(1, "halted");
+    on.wait([&] { return on.program->backend().inHand() == 0; });
+    on.expectBooksClosed();
+}
+
+TEST(Records, AKeptConnectionThatWasClosedIsNoFailedCall) {
+    Served on;
+    const std::int32_t sequence = on.atCall(1);
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(1)); });
+    EXPECT_EQ(on.program->records().kept(), 1U);
+    on.records.server.hangUp();
+    on.wait([&] { return on.program->records().kept() == 0; });
+    on.pool.block(Sidecar::trace(1), "second");
+    on.wait([&] { return on.pool.supplied.at(Sidecar::trace(1)) == "re:second"; });
+    EXPECT_EQ(on.count(Count::CallsOk), 2U);
+    on.finish(1);
+    on.answer(sequence);
+}
+
+TEST(Listing, ReportsOnItsOwnAndAgainSoonAfterAFailure) {
+    Served on;
+    on.wait([&] { return on.registry.heads.size() >= 2; });
+    EXPECT_EQ(on.registry.heads[0].substr(0, on.registry.heads[0].find("\r\n")),
+              "PUT /v1/instances/n3 HTTP/1.1");
+    EXPECT_EQ(on.registry.bodies[0], R"({"state":"ready"})");
+    EXPECT_EQ(on.registry.server.accepted, 1);
+    // It hangs, then hangs up: the next report comes well before the list lapses.
+    on.registry.answer = [](net::Connection&, const std::string&, const std::string&) {
+        return std::string();
+    };
+    const Nanos from = net::unixNow();
+    on.wait([&] { return on.count(Count::ReportsFailed) > 0; });
+    on.registry.answer = [](net::Connection&, const std::string&, const std::string&) {
+        return HttpStandIn::reply(204);
+    };
+    const std::size_t before = on.registry.heads.size();
+    on.wait([&] { return on.registry.heads.size() > before; });
+    EXPECT_LT(net::unixNow() - from, 3s);
+    EXPECT_GE(on.registry.server.accepted, 2);
+}
+
+TEST(Leaving, AnswersAllTellsTheListAndGoes) {
+    Served on;
+    Sidecar idle(on.loop, on.port());
+    const std::int32_t sequence = on.sidecar->ask(1);
+    on.running(1);
+    const int port = on.port();
+    const Nanos from = net::unixNow();
+    on.program->leave();
+    on.wait([&] { return on.registry.bodies.back() == R"({"state":"draining"})"; });
+    on.sidecar->say(frames::isWell(50, false));
+    EXPECT_FALSE(on.answer(50).good);
+    on.wait([&] { return idle.goaways == 1 && on.sidecar->goaways == 1; });
+    // The grace is over: what still comes is not run.
+    on.wait([&] { return net::unixNow() > from + 210ms; });
+    on.sidecar->sequence = 60;
+    EXPECT_EQ(on.answer(on.sidecar->ask(2)).kind, "busy");
+    Sidecar late(on.loop, port);
+    on.wait([&] { return late.gone; });  // refused: nothing ran
+    on.finish(1, "ok", "in time");
+    EXPECT_EQ(on.answer(sequence).body, "in time");
+    idle.hangUp();
+    on.sidecar->hangUp();
+    on.wait([&] { return on.program->sidecars().connections() == 0; });
+    EXPECT_EQ(on.pool.starts, 1);
+    on.expectBooksClosed();
+}
+
+TEST(Leaving, ScrapsWhatWillNotEndAndStopsInTime) {
+    Served on;
+    const std::int32_t sequence = on.sidecar->ask(1, "", "read", 8000);
+    on.running(1);
+    const Nanos from = net::unixNow();
+    on.program->leave();
+    on.loop.run();  // comes back by itself
+    EXPECT_LT(net::unixNow() - from, 1500ms);
+    EXPECT_EQ(on.sidecar->answers[sequence].kind, "failed");
+}
+
+TEST(Descriptors, RunningOutNeitherSpinsNorEnds) {
+    Served on;
+    rlimit before{};
+    getrlimit(RLIMIT_NOFILE, &before);
+    const int next = dup(0);
+    close(next);
+    const rlimit tight = {static_cast<rlim_t>(next), before.rlim_max};
+    const std::int32_t sequence = on.atCall(1);
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(1)); });
+    on.records.server.hangUp();
+    on.wait([&] { return on.program->records().kept() == 0; });
+    setrlimit(RLIMIT_NOFILE, &tight);
+    on.pool.block(Sidecar::trace(1), "no descriptor for this call");
+    // The stand-in's closed end gave a descriptor or two back: several calls are tried until one lacks it.
+    on.pool.server.lines.back().connection->send("");
+    on.wait([&] { return on.count(Count::CallsUnreachable) + on.count(Count::CallsOk) > 1; });
+    setrlimit(RLIMIT_NOFILE, &before);
+    on.finish(1);
+    on.answer(sequence);
+    Sidecar other(on.loop, on.port());
+    other.say(frames::isWell(1, false));
+    on.wait([&] { return other.answers.contains(1); });
+}
+
+// A day of random events: one answer a command, bodies unchanged, books closed, descriptors back.
+TEST(Server, KeepsItsRulesThroughRandomEvents) {
+    Json start = testing::plainStart();
+    start["settings"]["classes"][0]["aim_us"] = 400000;
+    Served on(start);
+    std::mt19937 chance(20261201);
+    const auto draw = [&](int below) { return static_cast<int>(chance() % static_cast<unsigned>(below)); };
+    on.records.answer = [&](net::Connection&, const std::string&, const std::string& body) {
+        switch (draw(12)) {
+            case 0:
+                return HttpStandIn::reply(503, "", "Op-Not-Begun: 1\r\n");
+            case 1:
+                return HttpStandIn::reply(500);
+            case 2:
+                return HttpStandIn::reply(504);
+            case 3:
+                return std::string();
+            case 4:
+                return std::string("HTTP/1.1 2x0\r\n\r\n");
+            default:
+                return HttpStandIn::reply(200, "re:" + body, draw(4) == 0 ? "Connection: close\r\n" : "");
+        }
+    };
+    std::vector<std::unique_ptr<Sidecar>> sidecars;
+    std::map<std::string, std::string> results;  // by job
+    struct Asked {
+        Sidecar* sidecar;
+        std::int32_t sequence;
+        bool forgotten = false;
+    };
+    std::map<int, Asked> asked;
+    std::map<std::string, int> left;  // calls that a run will still make
+    int number = 0;
+    const auto play = [&] {
+        for (std::string& job : std::vector<std::string>(on.pool.halted)) left.erase(job);
+        for (const auto& [job, body] : std::map<std::string, std::string>(on.pool.running)) {
+            EXPECT_EQ(body, "body of " + job);
+            if (!left.contains(job)) left[job] = draw(3);
+            if (draw(8) != 0) continue;
+            if (left[job] > 0 && (!on.pool.supplied.contains(job) || draw(2) == 0)) {
+                --left[job];
+                on.pool.block(job, "call of " + job);
+            } else {
+                // A run that is started again after a lost link may end again: the first end counts.
+                const std::string result = "result " + std::to_string(draw(1000000));
+                results.emplace(job, result);
+                on.pool.finish(job, draw(15) == 0 ? "failed" : "ok", result);
+            }
+        }
+        for (const auto& [job, reply] : on.pool.supplied) EXPECT_EQ(reply, "re:call of " + job);
+    };
+    std::array<Sidecar*, 8> open{};
+    for (int turn = 0; number < 1500 && turn < 50000; ++turn) {
+        auto& place = open[static_cast<std::size_t>(draw(8))];
+        if (place == nullptr || !place->connection) {
+            sidecars.push_back(std::make_unique<Sidecar>(on.loop, on.port()));
+            place = sidecars.back().get();
+        }
+        Sidecar& from = *place;
+        if (from.sequence - static_cast<int>(from.answers.size()) < 20) {
+            const int id = ++number;
+            const std::int32_t sequence = from.ask(id, "body of " + Sidecar::trace(id),
+                                                   draw(3) == 0 ? "look" : "read", 200 + draw(600));
+            asked[id] = {&from, sequence};
+            if (draw(20) == 0) {
+                from.say(frames::forget(++from.sequence, sequence));
+                from.answers[from.sequence];  // not a question
+                asked[id].forgotten = true;
+            }
+        }
+        if (turn % 500 == 499) on.pool.server.hangUp();
+        if (draw(300) == 0) on.records.server.hangUp();
+        if (draw(200) == 0) from.hangUp();
+        if (draw(400) == 0 && from.connection) from.say("no frame at all");
+        play();
+        uv_run(on.loop.raw(), UV_RUN_NOWAIT);
+    }
+    ASSERT_EQ(number, 1500);
+    on.wait([&] {
+        play();
+        return on.program->backend().inHand() == 0;
+    });
+    int answered = 0;
+    for (const auto& [id, command] : asked) {
+        Sidecar& from = *command.sidecar;
+        if (command.forgotten) continue;
+        on.wait([&] { return !from.connection || from.answers.contains(command.sequence); });
+        if (!from.answers.contains(command.sequence)) continue;  // its connection ended first
+        const frames::Read& answer = from.answers[command.sequence];
+        ++answered;
+        if (answer.kind != "answer") continue;
+        EXPECT_EQ(answer.body, results.at(Sidecar::trace(id)));
+    }
+    EXPECT_GT(answered, 100);
+    for (const auto& sidecar : sidecars) EXPECT_EQ(sidecar->twice, 0);
+    EXPECT_GT(on.count(Count::Handled), 50U);
+    EXPECT_GT(on.count(Count::CallsOk), 10U);
+    EXPECT_GT(on.count(Count::PoolLinks), 1U);
+    sidecars.clear();
+    on.sidecar->hangUp();
+    on.wait([&] { return on.program->sidecars().connections() == 0; });
+    on.expectBooksClosed();
+}
+
+}  // namespace
+}  // namespace cottonwing
