Deep checks ask the pool only where no run has ended well since the last; more tests

Tests added: a call that was never written is put on a new connection (a peer that resets), a second call gives up the first, once-only is not started again, a stand-still of 0.4 s is one round, idle connections are sent away and still served.

--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -1,5 +1,7 @@
 #include "backend/backend.h"
 
+#include <utility>
+
 namespace cottonwing::backend {
 
 namespace {
@@ -8,7 +10,6 @@
 using report::Count;
 
 constexpr Nanos kGaugesHold = 100ms;  // gauges older than this are not shown as present ones
-constexpr Nanos kWorkHolds = 1s;      // a run that ended well shows for this long that work gets done
 
 }  // namespace
 
@@ -76,7 +77,7 @@
     fresh_ = true;
     if (!owned.waiting()) return dropIfDone(at);
     if (outcome == Outcome::Ok) {
-        workSeenAt_ = net::unixNow();
+        workSeen_ = true;
         door_->handled(id, result);
         return answered(at, Count::Handled);
     }
@@ -85,7 +86,7 @@
 }
 
 void Backend::checkWork(std::function<void(bool)> told) {
-    if (!well_ || net::unixNow() - workSeenAt_ < kWorkHolds) return told(well_);
+    if (!well_ || std::exchange(workSeen_, false)) return told(well_);
     runs_->verify([this, told = std::move(told)](std::optional<bool> good) {
         told(well_ && good.value_or(true));  // no word in time is no proof that work fails
     });
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -79,7 +79,8 @@
 
     // Good health, from the module's word alone.
     bool well() const { return well_; }
-    // And whether work gets done: seen from a run that ended well just now or, without one, from new work.
+    // And whether work gets done: seen from a run that has ended well since the last such check or, without
+    // one, from new work.
     void checkWork(std::function<void(bool)> told);
     std::optional<double> freeValue() const { return freeValue_; }
     std::size_t unanswered() const { return unanswered_; }
@@ -159,7 +160,7 @@
     Gauges gauges_;
     Nanos gaugesAt_{0};
     bool well_ = false;
-    Nanos workSeenAt_{0};  // when a run last ended well
+    bool workSeen_ = false;  // a run has ended well since work was last checked
     std::optional<double> freeValue_;
     Table table_;  // emptied by answers, by ends of runs and by callers that leave
     std::size_t unanswered_ = 0;
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -2,6 +2,7 @@
 #include <sys/resource.h>
 
 #include <random>
+#include <thread>
 
 #include "helpers.h"
 
@@ -15,6 +16,7 @@
 using testing::Json;
 using testing::Sidecar;
 using testing::Stage;
+using testing::until;
 namespace frames = testing::frames;
 
 // A stage whose backend is bound, with one sidecar.
@@ -298,6 +300,23 @@
     on.expectBooksClosed();
 }
 
+TEST(PoolLink, OnceOnlyIsNotStartedAgain) {
+    Json start = testing::plainStart();
+    start["settings"]["classes"][1]["repeat"] = "single_shot";
+    Served on(start);
+    const std::int32_t once = on.sidecar->ask(1, "", "look");
+    const std::int32_t often = on.sidecar->ask(2);
+    on.running(1);
+    on.running(2);
+    on.pool.server.hangUp();
+    on.wait([&] { return on.pool.starts == 3; });
+    on.finish(1);
+    on.finish(2);
+    on.answer(once);
+    on.answer(often);
+    EXPECT_EQ(on.pool.starts, 3);  // only the repeatable one was said again
+}
+
 TEST(PoolLink, ANoticeThatWasSeenIsDropped) {
     Served on;
     const std::int32_t sequence = on.atCall(1);
@@ -416,6 +435,55 @@
     on.answer(sequence);
 }
 
+// A peer of the system's own resets the kept connection between the loop's look at it and the write.
+TEST(Records, ACallThatWasNeverWrittenIsPutOnANewConnection) {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in at{};
+    uv_ip4_addr("127.0.0.1", 0, &at);
+    socklen_t length = sizeof at;
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr*>(&at), length), 0);
+    ASSERT_EQ(listen(listener, 4), 0);
+    getsockname(listener, reinterpret_cast<sockaddr*>(&at), &length);
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Debug);
+    report::Counters counters;
+    net::Loop loop;
+    backend::Backend backend(loop, StartTerms(), log, counters);
+    calls::Records records(loop, {"127.0.0.1", ntohs(at.sin_port)}, 4, backend, counters);
+    const std::string reply = HttpStandIn::reply(200, "good");
+    const auto serve = [&] {
+        const int peer = accept(listener, nullptr, nullptr);
+        char bytes[4096];
+        ssize_t count = -1;
+        until(loop, [&] { return (count = recv(peer, bytes, sizeof bytes, MSG_DONTWAIT)) > 0; });
+        EXPECT_EQ(send(peer, reply.data(), reply.size(), 0), static_cast<ssize_t>(reply.size()));
+        return std::make_pair(peer,
+                              std::string(bytes, static_cast<std::size_t>(std::max<ssize_t>(count, 0))));
+    };
+    records.begin(1, Sidecar::trace(1), 5s, "first");
+    const auto [peer, first] = serve();
+    until(loop, [&] { return records.kept() == 1; });
+    const linger reset = {1, 0};
+    setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    close(peer);
+    records.begin(2, Sidecar::trace(2), 5s, "second");
+    EXPECT_EQ(records.kept(), 0U);
+    uv_run(loop.raw(), UV_RUN_NOWAIT);
+    const auto [again, second] = serve();
+    until(loop, [&] { return counters.of(Count::CallsOk) == 2; });
+    EXPECT_NE(second.find("\r\n\r\nsecond"), second.npos);
+    EXPECT_EQ(counters.of(Count::CallsBegun), 2U);
+    EXPECT_EQ(counters.of(Count::CallsBroken), 0U);
+    // A second call for a command gives up the first.
+    records.begin(3, Sidecar::trace(3), 5s, "third");
+    records.begin(3, Sidecar::trace(3), 5s, "fourth");
+    EXPECT_EQ(records.out(), 1U);
+    EXPECT_EQ(counters.of(Count::CallsGivenUp), 1U);
+    records.giveUp(3);
+    close(again);
+    close(listener);
+}
+
 TEST(Listing, ReportsOnItsOwnAndAgainSoonAfterAFailure) {
     Served on;
     on.wait([&] { return on.registry.heads.size() >= 2; });
@@ -476,6 +544,31 @@
     EXPECT_EQ(on.sidecar->answers[sequence].kind, "failed");
 }
 
+TEST(Stall, IsCaughtUpWithInOneRound) {
+    Served on;
+    const int polls = on.pool.polls;
+    on.wait([&] { return on.pool.polls > polls; });
+    std::this_thread::sleep_for(400ms);  // the machine stands still
+    const std::uint64_t before = on.count(Count::Rounds);
+    on.loop.turnOnce();
+    on.wait([&] { return on.lines.str().find("stall: pulse late") != std::string::npos; });
+    EXPECT_LE(on.count(Count::Rounds) - before, 2U);
+    EXPECT_LE(on.pool.polls, polls + 2);  // of the twenty alarms that the time would hold
+}
+
+TEST(Connections, ThatAreIdleAreSentAwayAndStillServed) {
+    Json start = testing::plainStart();
+    start["settings"]["family_info"]["senders"] = 1000;  // each comes back seldom: idle ones go early
+    start["settings"]["family_info"]["idle_us"] = 1200000;
+    Served on(start);
+    on.wait([&] { return on.sidecar->goaways == 1; });
+    const std::int32_t sequence = on.sidecar->ask(1);  // crossed the word
+    on.running(1);
+    on.finish(1);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+    EXPECT_EQ(on.sidecar->goaways, 1);
+}
+
 TEST(Descriptors, RunningOutNeitherSpinsNorEnds) {
     Served on;
     rlimit before{};
