Timers look at the sockets before they ring; one report at a time

A timer now ends a millisecond early, looks, and rings. A change of state sent a second report while the regular one could still come behind it on the same connection (registry.cpp, send).

--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -59,9 +59,7 @@
         while (!input.empty()) {
             const std::string piece(input.front());
             input.drop(piece.size());
-            const CommandId before = id;
             if (!busy || !replies.read(piece)) return records.ended(*this, net::ConnectionEnd::Malformed);
-            if (gone || before != id || !busy) return;
         }
     }
     void ended(net::Connection&, net::ConnectionEnd end) override { records.ended(*this, end); }
@@ -70,7 +68,7 @@
     net::Timer patience;
     net::HttpReplies replies;
     net::Connection connection;
-    bool busy = false, gone = false;
+    bool busy = false;
     CommandId id = 0;
     Nanos since{0}, until{0};  // of the call; since also of being unused
     std::size_t unsent = 0;    // size of a call put on a kept connection
@@ -140,7 +138,6 @@
         if (kept_.empty()) sweep_.start(kUnused);
         kept_.splice(kept_.end(), busy_, line.place);
     } else {
-        line.gone = true;
         // Not from under the connection that is speaking: it ends with its next turn of the loop.
         line.since = Nanos(0);
         sweep_.start(0ns);
--- a/src/listing/registry.cpp
+++ b/src/listing/registry.cpp
@@ -33,6 +33,7 @@
 }
 
 void Registry::send() {
+    next_.stop();  // one report at a time
     if (!connection_) {
         replies_ = std::make_unique<net::HttpReplies>([this](net::HttpReplies::Reply&& reply) {
             waiting_ = false;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 #include "net/connection.h"
 
@@ -45,9 +46,10 @@
 struct Timer::Handle {
     uv_timer_t timer;
     std::function<void()> rings;
+    bool looked = false;  // at the sockets, since the time was nearly up
 };
 
-Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings)}) {
+Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings), false}) {
     uv_timer_init(loop.raw(), &handle_->timer);
     handle_->timer.data = handle_;
 }
@@ -61,14 +63,21 @@
     using Millis = std::chrono::milliseconds;
     uv_update_time(handle_->timer.loop);
     const auto millis = std::chrono::ceil<Millis>(std::max(wait, Nanos(0))).count();
+    handle_->looked = millis == 0;
+    arm(*handle_, static_cast<std::uint64_t>(std::max<std::int64_t>(millis - 1, 0)));
+}
+
+void Timer::arm(Handle& handle, std::uint64_t millis) {
     uv_timer_start(
-        &handle_->timer,
+        &handle.timer,
         [](uv_timer_t* timer) {
+            Handle& rung = *static_cast<Handle*>(timer->data);
+            if (!std::exchange(rung.looked, true)) return arm(rung, 1);
             // A copy: what rings may destroy the timer.
-            const auto rings = static_cast<Handle*>(timer->data)->rings;
+            const auto rings = rung.rings;
             Loop::of(timer->loop).guarded(rings);
         },
-        static_cast<std::uint64_t>(millis), 0);
+        millis, 0);
 }
 
 void Timer::stop() { uv_timer_stop(&handle_->timer); }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -57,7 +57,8 @@
     std::vector<Channel*> toFlush_;  // with output; emptied at the end of each turn
 };
 
-// Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up.
+// Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up. The
+// sockets are looked at in the last of them, so that after a stand-still what came in time is read first.
 class Timer {
 public:
     Timer(Loop& loop, std::function<void()> rings);
@@ -69,6 +70,7 @@
 
 private:
     struct Handle;
+    static void arm(Handle& handle, std::uint64_t millis);
     Handle* handle_;
 };
 
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -79,7 +79,6 @@
         searched_ = 0;
         if (notice) {
             hear(*notice);
-            if (connection_.get() != &connection) return;
         } else {
             counters_.add(Count::PoolUnreadable);
             log_.warn("pool", "a line that can't be read was left out");
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -474,6 +474,16 @@
     EXPECT_NE(second.find("\r\n\r\nsecond"), second.npos);
     EXPECT_EQ(counters.of(Count::CallsBegun), 2U);
     EXPECT_EQ(counters.of(Count::CallsBroken), 0U);
+    until(loop, [&] { return records.kept() == 1; });
+    // A reply that came in time is read after a stand-still, though the patience is over by then.
+    records.begin(4, Sidecar::trace(4), 100ms, "slow machine");
+    uv_run(loop.raw(), UV_RUN_NOWAIT);
+    char bytes[4096];
+    until(loop, [&, fd = again] { return recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0; });
+    EXPECT_EQ(send(again, reply.data(), reply.size(), 0), static_cast<ssize_t>(reply.size()));
+    std::this_thread::sleep_for(200ms);
+    until(loop, [&] { return records.out() == 0; });
+    EXPECT_EQ(counters.of(Count::CallsOk), 3U);
     // A second call for a command gives up the first.
     records.begin(3, Sidecar::trace(3), 5s, "third");
     records.begin(3, Sidecar::trace(3), 5s, "fourth");
@@ -506,6 +516,25 @@
     EXPECT_GE(on.registry.server.accepted, 2);
 }
 
+TEST(Listing, SaysOneReportAtATime) {
+    net::Loop loop;
+    HttpStandIn registry(loop, [&](net::Connection&, const std::string&, const std::string& body) {
+        return body.find("ready") != body.npos ? HttpStandIn::reply(204) : std::string();
+    });
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Debug);
+    report::Counters counters;
+    listing::Registry reports(loop, registry.server.address(), "n3", log, counters);
+    until(loop, [&] { return registry.heads.size() == 1; });
+    const Nanos from = net::unixNow();
+    until(loop, [&] { return net::unixNow() > from + 500ms; });
+    reports.say(false);  // at once; the regular report would come while this one waits for its answer
+    until(loop, [&] { return registry.server.accepted == 2; });
+    EXPECT_EQ(registry.heads.size(), 2U);
+    EXPECT_EQ(registry.bodies[1], R"({"state":"draining"})");
+    EXPECT_EQ(counters.of(Count::ReportsFailed), 1U);
+}
+
 TEST(Leaving, AnswersAllTellsTheListAndGoes) {
     Served on;
     Sidecar idle(on.loop, on.port());
