--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -1,5 +1,6 @@
 #include "backend/backend.h"
 
+#include <charconv>
 #include <utility>
 
 namespace cottonwing::backend {
@@ -13,6 +14,13 @@
 
 }  // namespace
 
+std::optional<CommandId> readId(std::string_view text) {
+    CommandId id = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
+    if (text.size() != 16 || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+    return id;
+}
+
 Backend::Backend(net::Loop& loop, const StartTerms& terms, report::Log& log, report::Counters& counters)
     : terms_(terms), log_(log), counters_(counters), alarm_(loop, [this] { ring(); }), gathered_(log) {}
 
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -17,6 +17,9 @@
 
 namespace cottonwing::backend {
 
+// An id as all wires give it: 16 hex digits.
+std::optional<CommandId> readId(std::string_view text);
+
 // Where a command came from and its answer goes to; each takes one answer a command.
 class Door {
 public:
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -3,8 +3,6 @@
 #include <charconv>
 #include <cmath>
 
-#include "runs/notices.h"
-
 namespace cottonwing::intake {
 
 namespace {
@@ -53,7 +51,7 @@
         if (customer == names.customers.end()) return "customer: not a customer";
         command.customer = customer->second;
     }
-    const auto id = runs::readId(given("trace"));
+    const auto id = backend::readId(given("trace"));
     if (!id) return "trace: 16 hex digits were expected";
     const auto born = number<std::int64_t>(fields, "born"),
                patience = number<std::int64_t>(fields, "patience");
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -122,7 +122,6 @@
                                self->open = true;
                                self->read();
                                if (!self->out.empty()) self->queue();
-                               if (self->owner != nullptr) self->owner->owner_.opened(*self->owner);
                            });
                        });
     if (error == 0) return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -29,7 +29,6 @@
 class Owner {
 public:
     virtual ~Owner() = default;
-    virtual void opened(Connection&) {}
     virtual void arrived(Connection& connection) = 0;                   // bytes were added to its input
     virtual void ended(Connection& connection, ConnectionEnd end) = 0;  // once, and never by its own end()
 };
@@ -71,7 +70,6 @@
     // Written at the end of the turn. Without room for all of it the connection ends there instead.
     void send(std::string_view bytes);
     bool isOpen() const { return channel_->open; }
-    bool flushed() const { return channel_->out.empty(); }
     const Ring& output() const { return channel_->out; }
 
 private:
--- a/src/net/ending.cpp
+++ b/src/net/ending.cpp
@@ -4,9 +4,8 @@
 
 const char* nameOf(ConnectionEnd end) {
     static constexpr const char* kNames[kConnectionEnds] = {
-        "peer-closed", "reset",     "connect-refused", "connect-timed-out",
-        "timed-out",   "abandoned", "malformed",       "too-long",
-        "unused",      "leaving"};
+        "peer-closed", "reset",    "connect-refused", "connect-timed-out", "timed-out", "abandoned",
+        "malformed",   "too-long", "unused"};
     return kNames[static_cast<int>(end)];
 }
 
@@ -18,7 +17,6 @@
         case ConnectionEnd::TimedOut:
             return Outcome::TimedOut;
         case ConnectionEnd::Abandoned:
-        case ConnectionEnd::Leaving:
             return Outcome::Cancelled;
         case ConnectionEnd::PeerClosed:
         case ConnectionEnd::Reset:
--- a/src/net/ending.h
+++ b/src/net/ending.h
@@ -14,10 +14,9 @@
     Abandoned,  // ours: nobody wants the answer any more
     Malformed,  // ours: bytes that can't be read
     TooLong,    // ours: more than its ring may hold
-    Unused,     // ours: idle
-    Leaving     // ours: the process ends
+    Unused      // ours: idle
 };
-inline constexpr int kConnectionEnds = 10;
+inline constexpr int kConnectionEnds = 9;
 
 const char* nameOf(ConnectionEnd end);
 Outcome outcomeOf(ConnectionEnd end);
--- a/src/runs/notices.cpp
+++ b/src/runs/notices.cpp
@@ -1,7 +1,6 @@
 #include "runs/notices.h"
 
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -53,13 +52,6 @@
     return notice;
 }
 
-std::optional<CommandId> readId(std::string_view text) {
-    CommandId id = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), id, 16);
-    if (text.size() != 16 || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-    return id;
-}
-
 std::string encode64(std::string_view bytes) {
     std::string text;
     text.reserve((bytes.size() + 2) / 3 * 4);
--- a/src/runs/notices.h
+++ b/src/runs/notices.h
@@ -23,8 +23,6 @@
 
 // Nothing when the line can't be read.
 std::optional<Notice> readNotice(std::string_view line);
-// An id, 16 hex digits.
-std::optional<CommandId> readId(std::string_view text);
 
 std::string encode64(std::string_view bytes);
 std::optional<std::string> decode64(std::string_view text);
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -90,8 +90,10 @@
 
 void PoolLink::lost(net::ConnectionEnd end) {
     counters_.addEnd(end);
-    if (bound_) log_.warn("pool", std::string("link lost: ") + net::nameOf(end));
+    if (bound_ || !away_)
+        log_.warn("pool", std::string(bound_ ? "link lost: " : "no link: ") + net::nameOf(end));
     bound_ = false;
+    away_ = true;
     connection_.reset();
     again_.start(1ms * std::uniform_int_distribution<int>(kAgainLeast, kAgainMost)(chance_));
 }
@@ -101,10 +103,11 @@
         if (notice.number <= last_) return;  // seen on an earlier link
         last_ = notice.number;
     }
-    const auto id = readId(notice.job);
+    const auto id = backend::readId(notice.job);
     switch (notice.kind) {
         case NoticeKind::Bound:
             bound_ = true;
+            away_ = false;
             counters_.add(Count::PoolLinks);
             if (everBound_) {
                 log_.info("pool", "link is back, last notice " + std::to_string(last_));
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -26,7 +26,6 @@
     void supply(const std::string& name, std::string_view reply) override;
     void askGauges() override;
     void verify(std::function<void(std::optional<bool>)> told) override;
-    bool bound() const { return bound_; }
 
 private:
     void arrived(net::Connection& connection) override;
@@ -51,7 +50,7 @@
     std::uint64_t verified_ = 0;                                    // checks asked of the pool
     std::uint64_t last_ = 0;                                        // number of the last notice read
     std::size_t searched_ = 0;
-    bool bound_ = false, everBound_ = false;
+    bool bound_ = false, everBound_ = false, away_ = false;
 };
 
 }  // namespace cottonwing::runs
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -133,13 +133,13 @@
     EXPECT_EQ(ended->number, 12U);
     EXPECT_EQ(ended->took, Nanos(12500000));
     EXPECT_EQ(ended->data, std::string("\0b", 2));
-    EXPECT_EQ(runs::readId(ended->job), 0x9b1f03aa5c7e2d41U);
+    EXPECT_EQ(backend::readId(ended->job), 0x9b1f03aa5c7e2d41U);
     EXPECT_EQ(runs::readNotice(R"({"type":"polled","ref":"a","gauges":[1,2.5]})")->gauges.size(), 2U);
     for (const char* bad : {"", "[]", "{", R"({"type":"news"})", R"({"type":"blocked","data":"AG="})",
                             R"({"type":"blocked","data":"A-=="})"})
         EXPECT_FALSE(runs::readNotice(bad)) << bad;
-    EXPECT_FALSE(runs::readId("9b1f03aa5c7e2d4"));
-    EXPECT_FALSE(runs::readId("9b1f03aa5c7e2d4x"));
+    EXPECT_FALSE(backend::readId("9b1f03aa5c7e2d4"));
+    EXPECT_FALSE(backend::readId("9b1f03aa5c7e2d4x"));
 }
 
 RC_GTEST_PROP(Notices, AnyBytesAreReadOrRefused, (const std::string& bytes)) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -49,8 +49,7 @@
                                                        {ConnectionEnd::Abandoned, Outcome::Cancelled},
                                                        {ConnectionEnd::Malformed, Outcome::Broken},
                                                        {ConnectionEnd::TooLong, Outcome::Broken},
-                                                       {ConnectionEnd::Unused, Outcome::Broken},
-                                                       {ConnectionEnd::Leaving, Outcome::Cancelled}};
+                                                       {ConnectionEnd::Unused, Outcome::Broken}};
     ASSERT_EQ(expected.size(), static_cast<std::size_t>(net::kConnectionEnds));
     std::set<std::string> names;
     for (const auto& [end, outcome] : expected) {
