--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -46,10 +46,10 @@
 struct Timer::Handle {
     uv_timer_t timer;
     std::function<void()> rings;
-    bool looked = false;  // at the sockets, since the time was nearly up
+    std::uint64_t due = 0;  // on the loop's clock; 0 once the sockets were looked at
 };
 
-Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings), false}) {
+Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings), 0}) {
     uv_timer_init(loop.raw(), &handle_->timer);
     handle_->timer.data = handle_;
 }
@@ -63,8 +63,8 @@
     using Millis = std::chrono::milliseconds;
     uv_update_time(handle_->timer.loop);
     const auto millis = std::chrono::ceil<Millis>(std::max(wait, Nanos(0))).count();
-    handle_->looked = millis == 0;
-    arm(*handle_, static_cast<std::uint64_t>(std::max<std::int64_t>(millis - 1, 0)));
+    handle_->due = uv_now(handle_->timer.loop) + static_cast<std::uint64_t>(millis);
+    arm(*handle_, static_cast<std::uint64_t>(millis));
 }
 
 void Timer::arm(Handle& handle, std::uint64_t millis) {
@@ -72,7 +72,8 @@
         &handle.timer,
         [](uv_timer_t* timer) {
             Handle& rung = *static_cast<Handle*>(timer->data);
-            if (!std::exchange(rung.looked, true)) return arm(rung, 1);
+            const std::uint64_t due = std::exchange(rung.due, 0);
+            if (due > 0 && uv_now(timer->loop) > due + kLate) return arm(rung, 1);
             // A copy: what rings may destroy the timer.
             const auto rings = rung.rings;
             Loop::of(timer->loop).guarded(rings);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -57,8 +57,9 @@
     std::vector<Channel*> toFlush_;  // with output; emptied at the end of each turn
 };
 
-// Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up. The
-// sockets are looked at in the last of them, so that after a stand-still what came in time is read first.
+// Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up.
+// Where that is late, the process stood still: the sockets are looked at first, as what lies there came in
+// time.
 class Timer {
 public:
     Timer(Loop& loop, std::function<void()> rings);
@@ -71,6 +72,7 @@
 private:
     struct Handle;
     static void arm(Handle& handle, std::uint64_t millis);
+    static constexpr std::uint64_t kLate = 10;  // milliseconds
     Handle* handle_;
 };
 
