--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -1,6 +1,7 @@
 // The whole program against stand-ins on loopback, on one loop and with conditions waited for.
 #include <sys/resource.h>
 
+#include <filesystem>
 #include <random>
 #include <thread>
 
@@ -627,6 +628,11 @@
     Json start = testing::plainStart();
     start["settings"]["classes"][0]["aim_us"] = 400000;
     Served on(start);
+    const auto descriptors = [] {
+        return std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+    };
+    on.wait([&] { return !on.registry.heads.empty() && on.program->sidecars().connections() == 1; });
+    const auto before = descriptors();
     std::mt19937 chance(20261201);
     const auto draw = [&](int below) { return static_cast<int>(chance() % static_cast<unsigned>(below)); };
     on.records.answer = [&](net::Connection&, const std::string&, const std::string& body) {
@@ -724,6 +730,8 @@
     on.sidecar->hangUp();
     on.wait([&] { return on.program->sidecars().connections() == 0; });
     on.expectBooksClosed();
+    // All descriptors are back, and the two ends of the first sidecar's connection.
+    on.wait([&] { return descriptors() == before - 2; });
 }
 
 }  // namespace
