--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -210,30 +210,28 @@
 }
 
 void Sidecars::handled(CommandId id, std::string_view result) {
-    const auto place = places_.find(id);
-    if (place == places_.end()) return;
-    const auto [line, sequence] = place->second;
-    places_.erase(place);
-    line->open.erase(sequence);
-    write(*line, writeAnswer("serve", sequence, result, advice(), true));
+    answer(id, [&](std::int32_t sequence) { return writeAnswer("serve", sequence, result, advice(), true); });
 }
 
 void Sidecars::bounced(CommandId id, Nanos comeBack, bool nowhereElse) {
     Fields fields = advice();
     if (comeBack >= 1ms) fields.emplace("pause", std::to_string(comeBack / 1ms));
     if (nowhereElse) fields.emplace("terminal", "1");
-    answer(id, writeBusy, fields);
+    answer(id, [&](std::int32_t sequence) { return writeBusy(sequence, fields); });
 }
 
-void Sidecars::scrapped(CommandId id) { answer(id, writeFailed, advice()); }
+void Sidecars::scrapped(CommandId id) {
+    answer(id, [&](std::int32_t sequence) { return writeFailed(sequence, advice()); });
+}
 
-void Sidecars::answer(CommandId id, std::string (*write)(std::int32_t, const Fields&), const Fields& fields) {
+// The one place where a command's place is freed by an answer.
+void Sidecars::answer(CommandId id, const std::function<std::string(std::int32_t)>& frame) {
     const auto place = places_.find(id);
     if (place == places_.end()) return;
     const auto [line, sequence] = place->second;
     places_.erase(place);
     line->open.erase(sequence);
-    this->write(*line, write(sequence, fields));
+    write(*line, frame(sequence));
 }
 
 void Sidecars::write(Line& line, const std::string& frame) {
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -1,6 +1,7 @@
 // The sidecars' connections: commands in, answers out in any order, health checks, forget and goaway.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -43,7 +44,7 @@
     bool take(Line& line, const Message& message);
     void takeCommand(Line& line, const Message& message);
     void refuse(Line& line, const Message& message, Refusal kind, const std::string& why);
-    void answer(CommandId id, std::string (*write)(std::int32_t, const Fields&), const Fields& fields);
+    void answer(CommandId id, const std::function<std::string(std::int32_t)>& frame);
     void write(Line& line, const std::string& frame);
     void touch(Line& line);
     void end(Line& line, net::ConnectionEnd end);
