SIGHUP reads the file again and the links move; spoilt replies cost their connection

Now launch::readStart is used again; pool, records and registry move, a bad file is refused whole with its key. A report without an answer held the next back for 500 ms.

--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -11,6 +11,7 @@
 using report::Count;
 
 constexpr Nanos kGaugesHold = 100ms;  // gauges older than this are not shown as present ones
+constexpr Nanos kUnsure = 1s;         // what was said that long before a link was lost may be lost with it
 
 }  // namespace
 
@@ -69,6 +70,7 @@
     if (at == table_.end() || !at->second.running) return;
     at->second.callBody = std::move(callBody);
     at->second.supplied.clear();
+    at->second.suppliedAt = 0ns;
     round_.parked.push_back(id);
     fresh_ = true;
 }
@@ -113,6 +115,7 @@
     if (outcome == Outcome::Moot) return;
     if (outcome == Outcome::Ok) {
         at->second.supplied = reply;
+        at->second.suppliedAt = net::unixNow();
         runs_->supply(at->second.name, reply);
     }
     round_.callsBack.push_back({id, outcome, took});
@@ -204,7 +207,7 @@
     if (!at->second.waiting() && !at->second.running) table_.erase(at);
 }
 
-void Backend::startAgain() {
+void Backend::startAgain(Nanos lostAt) {
     for (auto& [id, owned] : table_) {
         if (!owned.running) continue;
         // Also for one that nobody waits for any more: only an end, if of nothing, closes its books. A run
@@ -213,7 +216,8 @@
             runs_->start(owned.name, owned.profile, owned.body);
         if (!owned.waiting() && terms_.halting != Halting::Never)
             runs_->halt(owned.name);
-        else if (!owned.supplied.empty())
+        else if (owned.suppliedAt > 0ns && owned.suppliedAt > lostAt - kUnsure)
+            // An older one has arrived: said again it might meet the run's next call.
             runs_->supply(owned.name, owned.supplied);
     }
 }
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -88,12 +88,13 @@
     std::optional<double> freeValue() const { return freeValue_; }
     std::size_t unanswered() const { return unanswered_; }
     std::size_t inHand() const { return table_.size(); }
-    // What is with the machine, said again on a new link.
-    void startAgain();
+    // What is with the machine, said again on a new link after one that was lost then.
+    void startAgain(Nanos lostAt);
 
 private:
     struct Owned {
         std::string name, body, callBody, supplied;
+        Nanos suppliedAt{0};
         int profile = 0;
         bool answered = false, left = false, running = false, calling = false;
         bool waiting() const { return !answered && !left; }
--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -9,6 +9,8 @@
 
 constexpr net::Bounds kBounds = {128 << 10, 32 << 10};
 constexpr Nanos kUnused = 4s;  // the other side closes after 10 s: never a call onto a closing connection
+// A second copy of a reply that comes in pieces must not be taken for that of the next call.
+constexpr Nanos kSettles = 5ms;
 
 Outcome outcomeOf(const net::HttpReplies::Reply& reply) {
     const bool notBegun = reply.has("op-not-begun", "1");
@@ -35,6 +37,8 @@
             return Count::CallsBroken;
         case Outcome::Moot:
             return Count::CallsMoot;
+        case Outcome::NoRoom:
+            return Count::CallsNoRoom;
         case Outcome::Cancelled:
             break;
     }
@@ -68,10 +72,11 @@
     net::Timer patience;
     net::HttpReplies replies;
     net::Connection connection;
-    bool busy = false;
+    bool busy = false, old = false;  // old: to an address that is no longer ours
     CommandId id = 0;
     Nanos since{0}, until{0};  // of the call; since also of being unused
-    std::size_t unsent = 0;    // size of a call put on a kept connection
+    std::size_t size = 0;      // of the call's bytes
+    bool reused = false;       // the call was put on a kept connection
     Lines::iterator place;
 };
 
@@ -89,20 +94,38 @@
 void Records::begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) {
     giveUp(id);
     counters_.add(Count::CallsBegun);
-    if (kept_.empty() && busy_.size() >= most_) return report(id, Outcome::Unreachable, 0ns, {});
+    const auto idle = idleLine();
+    const bool reused = idle != kept_.end();
+    if (!reused && busy_.size() + kept_.size() >= most_) {
+        if (kept_.empty()) return report(id, Outcome::NoRoom, 0ns, {});
+        kept_.pop_front();
+    }
     const auto millis = std::max<std::int64_t>(1, patience / 1ms);
     std::string request = "POST /records/op HTTP/1.1\r\nOp-Of: " + name +
                           "\r\nOp-Wait-Ms: " + std::to_string(millis) +
                           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     request.append(body);
-    const bool reused = !kept_.empty();
     if (reused)
-        busy_.splice(busy_.end(), kept_, std::prev(kept_.end()));  // the one used last
+        busy_.splice(busy_.end(), kept_, idle);
     else
         busy_.push_back(std::make_unique<Line>(*this));
     put(std::prev(busy_.end()), id, net::unixNow(), net::unixNow() + patience, std::move(request), reused);
 }
 
+// The one used last, past the moment in which something may still follow its reply.
+Records::Lines::iterator Records::idleLine() {
+    const Nanos now = net::unixNow();
+    for (auto line = kept_.end(); line != kept_.begin();)
+        if (now - (*--line)->since >= kSettles) return (*line)->since > 0ns ? line : kept_.end();
+    return kept_.end();
+}
+
+void Records::moveTo(net::Address at) {
+    at_ = std::move(at);
+    kept_.clear();
+    for (const auto& line : busy_) line->old = true;
+}
+
 void Records::put(Lines::iterator place, CommandId id, Nanos since, Nanos until, std::string request,
                   bool reused) {
     Line& line = **place;
@@ -111,7 +134,8 @@
     line.id = id;
     line.since = since;
     line.until = until;
-    line.unsent = reused ? request.size() : 0;
+    line.size = request.size();
+    line.reused = reused;
     out_[id] = place;
     line.patience.start(until - net::unixNow());
     line.connection.send(request);
@@ -133,7 +157,7 @@
     line.patience.stop();
     line.busy = false;
     out_.erase(id);
-    if (reply.keepsOpen) {
+    if (reply.keepsOpen && !line.old) {
         line.since = net::unixNow();
         if (kept_.empty()) sweep_.start(kUnused);
         kept_.splice(kept_.end(), busy_, line.place);
@@ -155,11 +179,14 @@
         kept_.erase(line.place);
         return;
     }
-    // A kept connection that was gone before a byte of the call was written: the call has yet to begin.
+    // A kept connection that was gone before a byte of the call was written, or one that an address no longer
+    // ours refused: the call has yet to begin.
     const net::Ring& output = line.connection.output();
-    if (line.unsent > 0 && output.size() == line.unsent &&
-        (end == net::ConnectionEnd::Reset || end == net::ConnectionEnd::PeerClosed)) {
-        std::string scratch, request(output.peek(line.unsent, scratch));
+    const bool gone =
+        line.reused && (end == net::ConnectionEnd::Reset || end == net::ConnectionEnd::PeerClosed);
+    const bool moved = line.old && end == net::ConnectionEnd::ConnectRefused;
+    if (output.size() == line.size && (gone || moved)) {
+        std::string scratch, request(output.peek(line.size, scratch));
         const Nanos since = line.since, until = line.until;
         busy_.erase(line.place);
         busy_.push_back(std::make_unique<Line>(*this));
--- a/src/calls/records.h
+++ b/src/calls/records.h
@@ -20,6 +20,8 @@
 
     void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) override;
     void giveUp(CommandId id) override;
+    // New calls go there; what is out may still end well where it is, kept connections are not used again.
+    void moveTo(net::Address at);
 
     std::size_t out() const { return out_.size(); }
     std::size_t kept() const { return kept_.size(); }
@@ -31,11 +33,12 @@
     void put(Lines::iterator place, CommandId id, Nanos since, Nanos until, std::string request, bool reused);
     void replied(Line& line, net::HttpReplies::Reply&& reply);
     void ended(Line& line, net::ConnectionEnd end);
+    Lines::iterator idleLine();
     void report(CommandId id, Outcome outcome, Nanos took, std::string_view body);
     void closeUnused();
 
     net::Loop& loop_;
-    const net::Address at_;
+    net::Address at_;
     const std::size_t most_;
     backend::Backend& backend_;
     report::Counters& counters_;
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -110,6 +110,8 @@
     start.pool = readAddress("pool", text(all, "pool"));
     start.registry = readAddress("registry", text(all, "registry"));
     start.records = readAddress("records", text(all, "records"));
+    for (const char* key : {"stop_ms", "limits", "settings", "seed"})
+        start.fixed[key] = need(all, "", key).dump();
     start.stopAfter = Nanos(static_cast<std::int64_t>(positive(all, "", "stop_ms") * 1e6));
     const Json& limits = object(all, "", "limits");
     positive(limits, "limits.", "cores");
--- a/src/launch/start.h
+++ b/src/launch/start.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -22,11 +23,13 @@
     Names names;
     std::vector<std::string> gauges;  // as the pool orders them
     bool listFollowsHealth = false;
+    std::map<std::string, std::string> fixed;  // what stands in the file under keys that need a new start
 };
 
 using Environment = std::function<const char*(const char*)>;
 
-// Throws BadKey, which names the key and what was expected.
+// Throws BadKey, which names the key and what was expected. Read again while the program runs, by the same
+// rules.
 Start readStart(const Environment& environment);
 
 }  // namespace cottonwing::launch
--- a/src/listing/registry.cpp
+++ b/src/listing/registry.cpp
@@ -8,8 +8,9 @@
 using report::Count;
 
 constexpr net::Bounds kBounds = {16 << 10, 16 << 10};
-// The list lapses 3 s after a report: three may fail in between.
-constexpr Nanos kEvery = 800ms, kPatience = 500ms, kAgain = 100ms;
+// The list lapses 3 s after a report: three may fail in between. One that gets no answer may still have
+// counted, so only silence for as long as an entry lasts is told as the registry being away.
+constexpr Nanos kEvery = 800ms, kPatience = 500ms, kAgain = 100ms, kLapses = 3s;
 
 }  // namespace
 
@@ -21,15 +22,31 @@
       log_(log),
       counters_(counters),
       next_(loop, [this] { send(); }),
-      patience_(loop, [this] { lost(net::ConnectionEnd::TimedOut); }) {
+      patience_(loop, [this] { lost(net::ConnectionEnd::TimedOut); }),
+      answered_(net::unixNow()) {
     send();
 }
 
 void Registry::say(bool ready) {
     if (ready == ready_) return;
     ready_ = ready;
-    changed_ = true;
-    if (!waiting_) send();
+    if (waiting_) drop();
+    send();
+}
+
+void Registry::moveTo(net::Address at) {
+    at_ = std::move(at);
+    drop();
+    send();
+}
+
+// A report that is still waiting for its answer holds nothing back: it is given up with its connection.
+void Registry::drop() {
+    if (waiting_) {
+        counters_.add(Count::ReportsFailed);
+        counters_.addEnd(net::ConnectionEnd::Abandoned);
+    }
+    connection_.reset();
 }
 
 void Registry::send() {
@@ -42,14 +59,14 @@
             away_ = false;
             if (reply.status != 204)
                 log_.warn("registry", "answered " + std::to_string(reply.status) + " to a report");
-            next_.start(changed_ ? 0ns : kEvery);
+            answered_ = net::unixNow();
+            next_.start(kEvery);
         });
         connection_.reset(new net::Connection(loop_, at_, *this, kBounds));
     }
     const std::string body = ready_ ? R"({"state":"ready"})" : R"({"state":"draining"})";
     counters_.add(Count::ReportsSent);
     waiting_ = true;
-    changed_ = false;
     patience_.start(kPatience);
     connection_->send("PUT /v1/instances/" + name_ +
                       " HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
@@ -73,8 +90,10 @@
     if (!waiting_) return;  // a kept connection that was closed: the next report opens another
     waiting_ = false;
     counters_.add(Count::ReportsFailed);
-    if (!away_) log_.warn("registry", std::string("a report failed: ") + net::nameOf(end));
-    away_ = true;
+    if (!away_ && net::unixNow() - answered_ > kLapses) {
+        away_ = true;
+        log_.warn("registry", std::string("no report was answered for 3 s: ") + net::nameOf(end));
+    }
     next_.start(kAgain);
 }
 
--- a/src/listing/registry.h
+++ b/src/listing/registry.h
@@ -17,23 +17,26 @@
     Registry(net::Loop& loop, net::Address at, std::string name, report::Log& log,
              report::Counters& counters);
 
-    void say(bool ready);  // a change is reported at once
+    void say(bool ready);          // a change is reported at once
+    void moveTo(net::Address at);  // told at once
 
 private:
     void arrived(net::Connection& connection) override;
     void ended(net::Connection& connection, net::ConnectionEnd end) override;
     void send();
+    void drop();
     void lost(net::ConnectionEnd end);
 
     net::Loop& loop_;
-    const net::Address at_;
+    net::Address at_;
     const std::string name_;
     report::Log& log_;
     report::Counters& counters_;
     net::Timer next_, patience_;
     std::unique_ptr<net::Connection> connection_;
     std::unique_ptr<net::HttpReplies> replies_;
-    bool ready_ = true, waiting_ = false, changed_ = false, away_ = false;
+    Nanos answered_;  // the last time, or the start
+    bool ready_ = true, waiting_ = false, away_ = false;
 };
 
 }  // namespace cottonwing::listing
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -348,7 +348,8 @@
             row.whole += (seconds(result.took) - row.whole) * weight;
             row.calls += (in.calls - row.calls) * weight;
         }
-        if (in.phase == Phase::Running && result.outcome != Outcome::Cancelled)
+        // Only what ran tells how runs go: not one that was stopped, never started or unknown below.
+        if (in.phase == Phase::Running && (result.outcome == Outcome::Ok || result.outcome == Outcome::Error))
             bookRun(result.outcome == Outcome::Ok);
         if (result.outcome == Outcome::Ok && !in.answered)
             row.got += now_ <= in.promised + kPulse ? 1 : row.terms.lateShare;
@@ -530,12 +531,14 @@
         const bool good = result.outcome == Outcome::Ok, timedOut = result.outcome == Outcome::TimedOut;
         --callsOut_;
         if (timedOut || result.outcome == Outcome::Broken) lingering_.insert(now_ + terms_.linger);
-        // Time-outs of a process that stood still, or of a command with little time of its own, say nothing
-        // of the dependency.
-        const bool ours = timedOut && (now_ <= stalledUntil_ || in.weak);
+        // Time-outs of a process that stood still, or of a command with little time of its own, and what our
+        // own limits kept back say nothing of the dependency.
+        const bool noRoom = result.outcome == Outcome::NoRoom;
+        const bool ours = noRoom || (timedOut && (now_ <= stalledUntil_ || in.weak));
         if (in.probe) breaker_.probing = in.probe = false;
         if (!ours) book(breaker_, "call", good, nanos(seconds(attemptTimeout_) * kOpenShare));
-        tokens_ = good ? std::min(kMaxTokens, tokens_ + kTokenRatio) : std::max(0.0, tokens_ - 1);
+        if (!noRoom)
+            tokens_ = good ? std::min(kMaxTokens, tokens_ + kTokenRatio) : std::max(0.0, tokens_ - 1);
         // All backends meet a slow dependency at once: those that wait for a random time do not come back as
         // one.
         if (timedOut) unused_ -= seconds(result.took) * draw();
@@ -548,7 +551,8 @@
         }
         in.phase = Phase::AtCall;
         if (in.answered) return;
-        const bool neverRan = result.outcome == Outcome::Full || result.outcome == Outcome::Unreachable;
+        const bool neverRan =
+            noRoom || result.outcome == Outcome::Full || result.outcome == Outcome::Unreachable;
         const bool repeats = terms.repeat == Repeat::Repeatable ? result.outcome != Outcome::Error : neverRan;
         const double most = std::min(seconds(attemptTimeout_), seconds(attemptTimeout_) * kBackoffShare *
                                                                    std::pow(2.0, in.attempts - 1));
--- a/src/logic.h
+++ b/src/logic.h
@@ -19,7 +19,17 @@
 enum class Halting { Never, Abort, Pause };
 enum class FreeValue { None, Level, Window, Share };
 enum class Below { Nothing, Shared, Tier };
-enum class Outcome { Ok, Error, Full, TimedOut, Unreachable, Broken, Cancelled, Moot };
+enum class Outcome {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    Unreachable,
+    Broken,
+    Cancelled,
+    Moot,
+    NoRoom  // kept back by a limit of our own: it never left, and says nothing of the other side
+};
 
 struct ProfileTerms {
     Repeat repeat = Repeat::Repeatable;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 int main() {
     using namespace cottonwing;
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until there is something that can read the file again
     try {
         const launch::Start start = launch::readStart(std::getenv);
         report::Log log(std::cout, start.level);
@@ -16,8 +17,14 @@
         loop.onTrouble([&](const std::string& what) { log.error("trouble", what); });
         Server server(loop, start, log, counters);
         net::Signal term(loop, SIGTERM, [&] { server.leave(); });
+        net::Signal hup(loop, SIGHUP, [&] { server.readAgain(std::getenv); });
         net::Signal usr1(loop, SIGUSR1, [&] { counters.print(std::cout); });
         loop.run();
+        // The handlers go with this scope, and what the system would do instead is to end the program.
+        sigset_t late;
+        sigemptyset(&late);
+        for (const int signal : {SIGHUP, SIGUSR1, SIGTERM}) sigaddset(&late, signal);
+        sigprocmask(SIG_BLOCK, &late, nullptr);
         counters.print(std::cout);
         return 0;
     } catch (const launch::BadKey& error) {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -17,6 +17,7 @@
 struct Address {
     std::string host;
     int port = 0;
+    bool operator==(const Address&) const = default;
 };
 
 struct Bounds {
--- a/src/net/http_reply.cpp
+++ b/src/net/http_reply.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <climits>
 
 namespace cottonwing::net {
 
@@ -39,7 +40,7 @@
     };
     handlers_.on_headers_complete = [](http_parser* parser) {
         of(parser).reply_.headers += '\n';
-        return 0;
+        return of(parser).checkHead();
     };
     handlers_.on_body = [](http_parser* parser, const char* at, std::size_t count) {
         return of(parser).keep(of(parser).reply_.body, at, count);
@@ -60,15 +61,34 @@
     return 0;
 }
 
+// A body that claims gigabytes is given up at its head rather than read; one that ends with its connection
+// can't be told from one that was cut.
+int HttpReplies::checkHead() const {
+    const bool lengthTold = parser_.content_length != ULLONG_MAX;
+    if (lengthTold && parser_.content_length > kLongest) return -1;
+    const bool bodyless = parser_.status_code / 100 == 1 || parser_.status_code == 204;
+    return lengthTold || bodyless || (parser_.flags & F_CHUNKED) != 0 ? 0 : -1;
+}
+
 bool HttpReplies::read(std::string_view bytes) {
-    const std::size_t taken = http_parser_execute(&parser_, &handlers_, bytes.data(), bytes.size());
-    const http_errno error = HTTP_PARSER_ERRNO(&parser_);
-    if (error == HPE_OK) return true;
-    // One call at a time: bytes after a whole reply belong to nothing.
-    if (error != HPE_PAUSED || taken < bytes.size()) return false;
-    http_parser_pause(&parser_, 0);
-    const auto whole = whole_;
-    whole(std::move(reply_));
+    while (!bytes.empty()) {
+        const std::size_t taken = http_parser_execute(&parser_, &handlers_, bytes.data(), bytes.size());
+        const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+        if (error == HPE_OK && parser_.upgrade == 0) return true;
+        if (error != HPE_PAUSED || parser_.upgrade != 0) return false;
+        bytes.remove_prefix(taken);
+        // Each reply is read afresh, whatever the one before it said of the connection.
+        http_parser_init(&parser_, HTTP_RESPONSE);
+        if (reply_.status / 100 == 1) {
+            if (++inFront_ > kMostInFront) return false;
+            continue;
+        }
+        inFront_ = 0;
+        if (!bytes.empty()) reply_.keepsOpen = false;
+        const auto whole = whole_;
+        whole(std::move(reply_));
+        return true;
+    }
     return true;
 }
 
--- a/src/report/counters.h
+++ b/src/report/counters.h
@@ -33,11 +33,14 @@
     CallsBroken,
     CallsMoot,
     CallsGivenUp,
+    CallsNoRoom,
     PoolLinks,
     PoolUnknown,
     PoolUnreadable,
     ReportsSent,
     ReportsFailed,
+    Reloads,
+    ReloadsRefused,
     kLast
 };
 
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -11,7 +11,8 @@
 using report::Count;
 
 constexpr net::Bounds kBounds = {1 << 20, 4 << 20};
-constexpr Nanos kCheck = 250ms;                    // what a check may take
+constexpr Nanos kCheck = 250ms;  // what a check may take
+constexpr Nanos kSilent = 1s;    // polls unanswered for that long: the link is open but dead
 constexpr int kAgainLeast = 20, kAgainMost = 100;  // milliseconds before a lost link is opened again
 // Asked behind the notices that a new link catches up with: its answer tells that these are all in.
 constexpr const char* kCaughtUp = "caught-up";
@@ -35,7 +36,9 @@
 }
 
 void PoolLink::open() {
+    again_.stop();
     searched_ = 0;
+    unheard_ = 0ns;
     connection_.reset(new net::Connection(loop_, at_, *this, kBounds));
     connection_->send(bindLine(last_));
 }
@@ -45,7 +48,20 @@
 }
 void PoolLink::halt(const std::string& name) { say(haltLine(name)); }
 void PoolLink::supply(const std::string& name, std::string_view reply) { say(supplyLine(name, reply)); }
-void PoolLink::askGauges() { say(pollLine("gauges")); }
+void PoolLink::askGauges() {
+    const Nanos now = net::unixNow();
+    if (bound_ && unheard_ > 0ns && now - unheard_ > kSilent) return lost(net::ConnectionEnd::TimedOut);
+    if (unheard_ == 0ns) unheard_ = now;
+    say(pollLine("gauges"));
+}
+
+void PoolLink::moveTo(net::Address at) {
+    at_ = std::move(at);
+    log_.info("pool", "moves to " + at_.host + ":" + std::to_string(at_.port));
+    if (bound_ && lostAt_ == 0ns) lostAt_ = net::unixNow();
+    bound_ = false;
+    open();
+}
 
 // One check at a time serves all who ask meanwhile.
 void PoolLink::verify(std::function<void(std::optional<bool>)> told) {
@@ -92,13 +108,17 @@
     counters_.addEnd(end);
     if (bound_ || !away_)
         log_.warn("pool", std::string(bound_ ? "link lost: " : "no link: ") + net::nameOf(end));
+    // One that served is opened again at once: runs that end meanwhile hold up what waits for the cores.
+    const bool atOnce = bound_;
+    if (bound_ && lostAt_ == 0ns) lostAt_ = net::unixNow();
     bound_ = false;
     away_ = true;
     connection_.reset();
-    again_.start(1ms * std::uniform_int_distribution<int>(kAgainLeast, kAgainMost)(chance_));
+    again_.start(atOnce ? 0ns : 1ms * std::uniform_int_distribution<int>(kAgainLeast, kAgainMost)(chance_));
 }
 
 void PoolLink::hear(const Notice& notice) {
+    unheard_ = 0ns;
     if (notice.number != 0) {
         if (notice.number <= last_) return;  // seen on an earlier link
         last_ = notice.number;
@@ -127,13 +147,14 @@
             if (id) backend_.parked(*id, notice.data);
             return;
         case NoticeKind::Polled:
-            if (notice.tag == kCaughtUp) return backend_.startAgain();
+            if (notice.tag == kCaughtUp) return backend_.startAgain(std::exchange(lostAt_, 0ns));
             return hearGauges(notice.gauges);
         case NoticeKind::Unknown:
             counters_.add(Count::PoolUnknown);
             log_.warn("pool", notice.state + " not carried out for " + notice.job);
-            // Nothing of it runs; other commands that were not carried out leave a run as it is.
-            if (id && notice.state == "spawn") backend_.runEnded(*id, Outcome::Error, 0ns, {});
+            // Nothing of it runs, which tells of its caller and nothing of our runs; other commands that were
+            // not carried out leave a run as it is.
+            if (id && notice.state == "spawn") backend_.runEnded(*id, Outcome::Moot, 0ns, {});
             return;
         case NoticeKind::Verified:
             if (notice.tag == std::to_string(verified_)) tell(notice.state == "ok");
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -26,6 +26,8 @@
     void supply(const std::string& name, std::string_view reply) override;
     void askGauges() override;
     void verify(std::function<void(std::optional<bool>)> told) override;
+    // The link is opened there at once; runs go on, and what was missed is said again.
+    void moveTo(net::Address at);
 
 private:
     void arrived(net::Connection& connection) override;
@@ -38,7 +40,7 @@
     void hearGauges(const std::vector<double>& figures);
 
     net::Loop& loop_;
-    const net::Address at_;
+    net::Address at_;
     const std::vector<std::string> profiles_, gauges_;
     std::mt19937 chance_;
     backend::Backend& backend_;
@@ -50,6 +52,8 @@
     std::uint64_t verified_ = 0;                                    // checks asked of the pool
     std::uint64_t last_ = 0;                                        // number of the last notice read
     std::size_t searched_ = 0;
+    Nanos unheard_{0};  // when a poll went out that nothing has followed; 0: none has
+    Nanos lostAt_{0};   // when the link was lost that is not caught up with; 0: none was
     bool bound_ = false, everBound_ = false, away_ = false;
 };
 
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -22,7 +22,9 @@
 
 Server::Server(net::Loop& loop, const launch::Start& start, report::Log& log, report::Counters& counters)
     : loop_(loop),
+      start_(start),
       log_(log),
+      counters_(counters),
       stopAfter_(start.stopAfter),
       grace_(std::min(start.terms.drainGrace, start.stopAfter / 2)),
       backend_(loop, start.terms, log, counters),
@@ -55,6 +57,29 @@
     lastMoment_.start(stopAfter_ - kLastMoment);
 }
 
+void Server::readAgain(const launch::Environment& environment) {
+    launch::Start next;
+    try {
+        next = launch::readStart(environment);
+    } catch (const launch::BadKey& error) {
+        counters_.add(report::Count::ReloadsRefused);
+        return log_.error("reload", std::string("refused whole: ") + error.what());
+    }
+    counters_.add(report::Count::Reloads);
+    int moved = 0;
+    const auto moves = [&](net::Address& from, const net::Address& to, auto& link) {
+        if (from == to) return;
+        link.moveTo(from = to);
+        ++moved;
+    };
+    moves(start_.pool, next.pool, pool_);
+    moves(start_.records, next.records, records_);
+    moves(start_.registry, next.registry, registry_);
+    log_.info("reload", std::to_string(moved) + " of 3 addresses are new");
+    for (const auto& [key, value] : next.fixed)
+        if (value != start_.fixed[key]) log_.warn("reload", key + ": needs a new start, the old one stays");
+}
+
 void Server::turn() {
     backend_.turn();
     if (!sentAway_ || backend_.unanswered() > 0 || sidecars_.connections() > 0) return;
--- a/src/server.h
+++ b/src/server.h
@@ -17,6 +17,9 @@
     // The notice to leave: the list is told at once, all that was read is answered, and what comes after the
     // grace is sent away. The loop stops when nobody is left, and at the last moment in any case.
     void leave();
+    // The file has changed: the links move to the addresses it has now. One that can't be read is refused
+    // whole.
+    void readAgain(const launch::Environment& environment);
 
     const backend::Backend& backend() const { return backend_; }
     const calls::Records& records() const { return records_; }
@@ -26,7 +29,9 @@
     void turn();
 
     net::Loop& loop_;
+    launch::Start start_;  // as it was last read
     report::Log& log_;
+    report::Counters& counters_;
     const Nanos stopAfter_, grace_;
     backend::Backend backend_;
     runs::PoolLink pool_;
--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -127,6 +127,20 @@
     EXPECT_TRUE(m.logged("breaker closed: 3 good probes"));
 }
 
+// What our own limits kept back, and runs that were never started or are unknown below, are no failures.
+TEST(Calls, OwnLimitsSayNothingOfTheDependencyNorUnknownRunsOfTheMachine) {
+    Machine m(plainTerms());
+    for (CommandId id = 1; id <= 30; ++id) {
+        toCall(m, id);
+        back(m, id, Outcome::NoRoom);
+        for (int n = 0; n < 10; ++n) m.step();
+        EXPECT_EQ(m.work.at(id).at, Machine::At::Below) << "it never left, so it may try again";
+        back(m, id, Outcome::Ok);
+        end(m, id, Outcome::Moot);
+    }
+    EXPECT_FALSE(m.logged("breaker open"));
+}
+
 TEST(Calls, HalfOfTheLastTwentyOpenTheBreaker) {
     Machine m(plainTerms());
     for (CommandId id = 1; id <= 20; ++id) {
