Places go to sidecars that speak; figures in range; every bound a share of the limits

Now a connection that says nothing whole, holds half a message or does not take its answers is closed in 1.5 to 2 s, the longest unused with nothing open gives its place to who comes, eight refusals end a connection, 64 messages a turn are read of each. Figures are checked as the protocol states them.

--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -22,20 +22,30 @@
     return id;
 }
 
-Backend::Backend(net::Loop& loop, const StartTerms& terms, report::Log& log, report::Counters& counters)
-    : terms_(terms), log_(log), counters_(counters), alarm_(loop, [this] { ring(); }), gathered_(log) {}
+Backend::Backend(net::Loop& loop, const StartTerms& terms, std::size_t mostBytes, report::Log& log,
+                 report::Counters& counters)
+    : terms_(terms),
+      mostBytes_(mostBytes),
+      log_(log),
+      counters_(counters),
+      alarm_(loop, [this] { ring(); }),
+      gathered_(log) {}
 
 void Backend::take(Arrival arrival) {
     counters_.add(Count::CommandsRead);
     const CommandId id = arrival.command.id;
     const auto at = table_.emplace(id, Owned{}).first;
     ++unanswered_;
-    // Nothing can run before the machine is there.
-    if (!decider_) {
+    // Nothing can run before the machine is there, or without memory of our own for it: a body each for the
+    // command, its call and the reply.
+    const std::size_t bytes = 3 * arrival.body.size() + kEachTakes;
+    if (!decider_ || bytes_ + bytes > mostBytes_) {
+        if (decider_) counters_.add(Count::NoMemory);
         door_->bounced(id, 0ns, false);
         answered(at, Count::Bounced);
         return;
     }
+    bytes_ += at->second.bytes = bytes;
     at->second.name = std::move(arrival.name);
     at->second.body = std::move(arrival.body);
     at->second.profile = arrival.command.profile;
@@ -95,6 +105,18 @@
     answered(at, Count::Scrapped);
 }
 
+void Backend::runUnknown(CommandId id) {
+    const auto at = table_.find(id);
+    if (at == table_.end() || !at->second.running) return;
+    if (at->second.waiting()) {
+        door_->unknown(id);
+        at->second.answered = true;
+        counters_.add(Count::Scrapped);
+        --unanswered_;
+    }
+    runEnded(id, Outcome::Moot, 0ns, {});
+}
+
 void Backend::checkWork(std::function<void(bool)> told) {
     if (!well_ || std::exchange(workSeen_, false)) return told(well_);
     runs_->verify([this, told = std::move(told)](std::optional<bool> good) {
@@ -204,7 +226,9 @@
 }
 
 void Backend::dropIfDone(Table::iterator at) {
-    if (!at->second.waiting() && !at->second.running) table_.erase(at);
+    if (at->second.waiting() || at->second.running) return;
+    bytes_ -= at->second.bytes;
+    table_.erase(at);
 }
 
 void Backend::startAgain(Nanos lostAt) {
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -27,6 +27,7 @@
     virtual void handled(CommandId id, std::string_view result) = 0;
     virtual void bounced(CommandId id, Nanos comeBack, bool nowhereElse) = 0;
     virtual void scrapped(CommandId id) = 0;
+    virtual void unknown(CommandId id) = 0;  // scrapped, as what runs commands knows of no such command
     virtual void closeIdle(Nanos unusedFor) = 0;
 };
 
@@ -58,7 +59,9 @@
 
 class Backend {
 public:
-    Backend(net::Loop& loop, const StartTerms& terms, report::Log& log, report::Counters& counters);
+    // mostBytes: what the bodies of all commands in hand may take.
+    Backend(net::Loop& loop, const StartTerms& terms, std::size_t mostBytes, report::Log& log,
+            report::Counters& counters);
 
     void joinLinks(Door& door, Runs& runs, Calls& calls) { door_ = &door, runs_ = &runs, calls_ = &calls; }
     void onHealth(std::function<void(bool)> told) { healthTold_ = std::move(told); }
@@ -72,6 +75,7 @@
     void up(bool cold, Nanos ago);
     void parked(CommandId id, std::string callBody);
     void runEnded(CommandId id, Outcome outcome, Nanos took, std::string_view result);
+    void runUnknown(CommandId id);
     void gauges(const Gauges& gauges);
 
     // From the calls.
@@ -97,9 +101,11 @@
         Nanos suppliedAt{0};
         int profile = 0;
         bool answered = false, left = false, running = false, calling = false;
+        std::size_t bytes = 0;  // counted for it
         bool waiting() const { return !answered && !left; }
     };
     using Table = std::unordered_map<CommandId, Owned>;
+    static constexpr std::size_t kEachTakes = 1024;  // of memory, beside its bodies
 
     struct Decision {
         enum class Kind { Start, Bounce, Scrap, Halt, Call, Health, FreeValue, CloseIdle, Wake } kind;
@@ -148,6 +154,7 @@
     void ring();
 
     const StartTerms terms_;
+    const std::size_t mostBytes_;
     report::Log& log_;
     report::Counters& counters_;
     net::Timer alarm_;
@@ -168,6 +175,7 @@
     std::optional<double> freeValue_;
     Table table_;  // emptied by answers, by ends of runs and by callers that leave
     std::size_t unanswered_ = 0;
+    std::size_t bytes_ = 0;  // of the bodies in the table
 };
 
 }  // namespace cottonwing::backend
--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -7,7 +7,7 @@
 using namespace std::chrono_literals;
 using report::Count;
 
-constexpr net::Bounds kBounds = {128 << 10, 32 << 10};
+constexpr std::size_t kInput = 128 << 10, kOutput = 32 << 10;
 constexpr Nanos kUnused = 4s;  // the other side closes after 10 s: never a call onto a closing connection
 // A second copy of a reply that comes in pieces must not be taken for that of the next call.
 constexpr Nanos kSettles = 5ms;
@@ -56,7 +56,7 @@
                                                                 : net::ConnectionEnd::ConnectTimedOut);
                    }),
           replies([this](net::HttpReplies::Reply&& reply) { records.replied(*this, std::move(reply)); }),
-          connection(theRecords.loop_, theRecords.at_, *this, kBounds) {}
+          connection(theRecords.loop_, theRecords.at_, *this, {kInput, kOutput, theRecords.total_}) {}
 
     void arrived(net::Connection& from) override {
         net::Ring& input = from.input();
@@ -80,11 +80,12 @@
     Lines::iterator place;
 };
 
-Records::Records(net::Loop& loop, net::Address at, std::size_t mostConnections, backend::Backend& backend,
+Records::Records(net::Loop& loop, net::Address at, const launch::Shares& shares, backend::Backend& backend,
                  report::Counters& counters)
     : loop_(loop),
       at_(std::move(at)),
-      most_(mostConnections),
+      most_(shares.calls),
+      total_(std::make_shared<net::Total>(net::Total{shares.callBytes})),
       backend_(backend),
       counters_(counters),
       sweep_(loop, [this] { closeUnused(); }) {}
--- a/src/calls/records.h
+++ b/src/calls/records.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "backend/backend.h"
+#include "launch/start.h"
 #include "net/connection.h"
 #include "net/http_reply.h"
 
@@ -14,7 +15,7 @@
 
 class Records : public backend::Calls {
 public:
-    Records(net::Loop& loop, net::Address at, std::size_t mostConnections, backend::Backend& backend,
+    Records(net::Loop& loop, net::Address at, const launch::Shares& shares, backend::Backend& backend,
             report::Counters& counters);
     ~Records() override;
 
@@ -40,6 +41,7 @@
     net::Loop& loop_;
     net::Address at_;
     const std::size_t most_;
+    const std::shared_ptr<net::Total> total_;
     backend::Backend& backend_;
     report::Counters& counters_;
     net::Timer sweep_;
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -12,7 +12,17 @@
 
 constexpr std::size_t kMostOpen = 32;  // commands on one connection
 constexpr std::size_t kLongestBody = 2048;
-constexpr net::Bounds kBounds = {32 << 10, 256 << 10};
+constexpr std::size_t kInput = 32 << 10, kOutput = 256 << 10;
+constexpr int kMessagesATurn = 64;  // of one connection; the rest waits for its next turn
+constexpr int kMostStrikes = 8;     // messages of one connection that are refused before it is closed
+// A connection that has yet to send one whole message, and one that has begun a message, get this long.
+constexpr Nanos kFirstWord = 1500ms, kWholeMessage = 1500ms;
+constexpr Nanos kWrites = 2s;    // output that nobody takes ends its connection
+constexpr Nanos kSentAway = 1s;  // after goaway, before an idle connection is closed
+constexpr Nanos kTend = 100ms;
+constexpr Nanos kAhead = 1s;  // a command may be born so far ahead of our clock, or be due so far behind it
+constexpr std::size_t kStrangers =
+    4;  // of the places, one in so many is for those that never said anything whole
 
 template <typename T>
 std::optional<T> number(const Fields& fields, std::string_view key) {
@@ -34,7 +44,8 @@
 }
 
 // What a command lacks, or nothing when it is whole.
-std::string readCommand(const Message& message, const launch::Names& names, backend::Arrival& arrival) {
+std::string readCommand(const Message& message, const launch::Names& names,
+                        const std::vector<Nanos>& hardStops, backend::Arrival& arrival) {
     if (!message.fields || !message.body) return "fields and body are needed";
     if (message.body->size() > kLongestBody) return "the body is longer than 2048 bytes";
     const Fields& fields = *message.fields;
@@ -46,6 +57,7 @@
     const auto profile = names.profiles.find(given("route"));
     if (profile == names.profiles.end()) return "route: not a profile";
     command.profile = profile->second;
+    const Nanos hardStop = hardStops[static_cast<std::size_t>(profile->second)];
     if (!given("customer").empty()) {
         const auto customer = names.customers.find(given("customer"));
         if (customer == names.customers.end()) return "customer: not a customer";
@@ -57,22 +69,32 @@
                patience = number<std::int64_t>(fields, "patience");
     constexpr std::int64_t kLatest = INT64_MAX / 4000000;
     if (!born || *born <= 0 || *born > kLatest) return "born: Unix milliseconds were expected";
-    if (!patience || *patience < 0 || *patience > kLatest) return "patience: milliseconds were expected";
+    // Nobody waits for longer than the profile's hard stop. What is past all this tells of no jam, and its
+    // figures would stand in the module's means.
+    if (!patience || *patience < 0 || 1ms * *patience > hardStop)
+        return "patience: milliseconds were expected";
+    const Nanos now = net::unixNow(), bornAt = 1ms * *born, due = bornAt + 1ms * *patience;
+    if (bornAt > now + kAhead || due < now - kAhead) return "born: a time near the present was expected";
     const auto size = number<double>(fields, "size");
     if (!size || *size <= 0 || *size >= 2000) return "size: kilobytes were expected";
     if (!given("weight").empty()) {
         const auto weight = number<double>(fields, "weight");
-        if (!weight || *weight < 0 || *weight > 1e9) return "weight: milliseconds were expected";
+        if (!weight || *weight < 0 || *weight * 1e6 > static_cast<double>(hardStop.count()))
+            return "weight: milliseconds were expected";
         command.work = Nanos(static_cast<std::int64_t>(*weight * 1e6));
     }
     if (!given("order").empty()) {
         const auto order = number<double>(fields, "order");
-        if (!order) return "order: a number was expected";
+        if (!order || *order < 0 || *order >= 1) return "order: a number from 0 to under 1 was expected";
         command.rank = *order;
     }
+    if (!given("client").empty())
+        if (const auto client = number<std::int64_t>(fields, "client"); !client || *client < 0)
+            return "client: a number of 0 or more was expected";
+    if (fields.contains("redo") && given("redo") != "1") return "redo: 1 was expected";
     command.id = *id;
-    command.due = 1ms * (*born + *patience);
-    command.waited = std::max(0ns, net::unixNow() - 1ms * *born);
+    command.due = due;
+    command.waited = std::max(0ns, now - bornAt);
     command.heldKb = *size;
     command.again = given("redo") == "1";
     arrival.name = given("trace");
@@ -84,58 +106,104 @@
 
 struct Sidecars::Line : private net::Owner {
     Line(Sidecars& theSidecars, uv_stream_t* listener)
-        : sidecars(theSidecars), connection(theSidecars.loop_, listener, *this, kBounds) {}
+        : sidecars(theSidecars),
+          connection(theSidecars.loop_, listener, *this, {kInput, kOutput, theSidecars.total_}) {}
     void arrived(net::Connection&) override { sidecars.read(*this); }
     void ended(net::Connection&, net::ConnectionEnd end) override { sidecars.end(*this, end); }
 
     Sidecars& sidecars;
     net::Connection connection;
     std::map<std::int32_t, CommandId> open;  // by sequence number
-    Nanos used{0};
-    bool sentAway = false;
+    Nanos since{0}, used{0};                 // accepted; last traffic
+    Nanos begun{0};                          // when the message began that is not whole yet; 0: none is
+    Nanos stuck{0};                          // when the output was last seen to be taken; 0: there is none
+    std::size_t unread = 0;                  // output at that time
+    Nanos awayAt{0};                         // when goaway was sent; 0: it was not
+    int strikes = 0;
+    bool known = false;  // one whole message has come
     Lines::iterator place;
 };
 
-Sidecars::Sidecars(net::Loop& loop, const net::Address& at, std::size_t mostConnections, launch::Names names,
-                   backend::Backend& backend, report::Log& log, report::Counters& counters)
+Sidecars::Sidecars(net::Loop& loop, const net::Address& at, const launch::Shares& shares, launch::Names names,
+                   const std::vector<ProfileTerms>& profiles, backend::Backend& backend, report::Log& log,
+                   report::Counters& counters)
     : loop_(loop),
-      most_(mostConnections),
+      most_(shares.sidecars),
+      total_(std::make_shared<net::Total>(net::Total{shares.sidecarBytes})),
       names_(std::move(names)),
       backend_(backend),
       log_(log),
       counters_(counters),
-      sweep_(loop, [this] { closeUnused(); }),
+      tend_(loop, [this] { tend(); }),
       listener_(std::make_unique<net::Listener>(
-          loop, at, [this](uv_stream_t* listener) { accept(listener); },
-          [this] { return lines_.size() >= most_; })) {}
+          loop, at, [this](uv_stream_t* listener) { accept(listener); }, [this] { return !makeRoom(); })) {
+    for (const ProfileTerms& profile : profiles) hardStops_.push_back(profile.hardStop);
+    tend_.start(kTend);
+}
 
 Sidecars::~Sidecars() = default;
 
 void Sidecars::accept(uv_stream_t* listener) {
-    lines_.push_back(std::make_shared<Line>(*this, listener));
-    Line& line = *lines_.back();
-    line.place = std::prev(lines_.end());
-    line.used = net::unixNow();
+    strangers_.push_back(std::make_shared<Line>(*this, listener));
+    Line& line = *strangers_.back();
+    line.place = std::prev(strangers_.end());
+    line.since = line.used = net::unixNow();
     counters_.add(Count::SidecarsOpened);
 }
 
+// Who may hold a place: one that never said anything whole may not for long, and not many of them may; one
+// with nothing open gives way to whoever comes, the longest unused first. Commands in hand keep theirs.
+bool Sidecars::makeRoom() {
+    const bool full = connections() >= most_;
+    if (!full && strangers_.size() * kStrangers < most_) return true;
+    // Those that came this moment may be about to speak.
+    if (!strangers_.empty() && net::unixNow() - strangers_.front()->since >= kTend) {
+        evict(*strangers_.front());
+        return true;
+    }
+    if (!full) return true;
+    for (const auto& line : lines_)
+        if (line->open.empty()) {
+            evict(*line);
+            return true;
+        }
+    return false;
+}
+
+void Sidecars::evict(Line& line) {
+    counters_.add(Count::SidecarsEvicted);
+    end(line, net::ConnectionEnd::Unused);
+}
+
 void Sidecars::touch(Line& line) {
     line.used = net::unixNow();
-    lines_.splice(lines_.end(), lines_, line.place);
+    if (line.known) lines_.splice(lines_.end(), lines_, line.place);
 }
 
 void Sidecars::read(Line& line) {
-    touch(line);
     net::Ring& input = line.connection.input();
-    for (;;) {
+    for (int messages = 0;; ++messages) {
+        if (messages == kMessagesATurn || line.connection.halfFull()) return line.connection.readOnLater();
         std::size_t length = 0;
         const FrameState state = lookForFrame(input, length);
-        if (state == FrameState::Partial) return;
+        if (state == FrameState::Partial) {
+            // Bytes that complete nothing do not count as traffic.
+            if (input.empty())
+                line.begun = 0ns;
+            else if (messages > 0 || line.begun == 0ns)
+                line.begun = net::unixNow();
+            return;
+        }
         std::optional<Message> message;
         if (state == FrameState::Whole) {
             message = readMessage(input.peek(4 + length, scratch_).substr(4));
             input.drop(4 + length);
         }
+        if (message && !line.known) {
+            line.known = true;
+            lines_.splice(lines_.end(), strangers_, line.place);
+        }
+        if (message) touch(line);
         if (!message || !take(line, *message)) {
             counters_.add(Count::BadFrames);
             log_.warn("sidecar",
@@ -143,6 +211,8 @@
             return end(line, state == FrameState::TooLong ? net::ConnectionEnd::TooLong
                                                           : net::ConnectionEnd::Malformed);
         }
+        // One that goes on asking for what can't be read, or the same again as soon as it is turned away.
+        if (line.strikes >= kMostStrikes) return end(line, net::ConnectionEnd::Malformed);
     }
 }
 
@@ -185,7 +255,7 @@
 
 void Sidecars::takeCommand(Line& line, const Message& message) {
     backend::Arrival arrival;
-    std::string why = readCommand(message, names_, arrival);
+    std::string why = readCommand(message, names_, hardStops_, arrival);
     if (why.empty() && backend_.has(arrival.command.id)) why = "trace: in hand already";
     if (!why.empty()) return refuse(line, message, Refusal::Internal, why);
     line.open.emplace(message.sequence, arrival.command.id);
@@ -197,6 +267,7 @@
     counters_.add(Count::CommandsRefused);
     log_.warn("sidecar", message.name.substr(0, 40) + " refused: " + why);
     write(line, writeRefusal(message.name, message.sequence, kind, why));
+    ++line.strikes;
 }
 
 void Sidecars::tellHealth(Line& line, std::int32_t sequence, bool good) {
@@ -224,6 +295,11 @@
     answer(id, [&](std::int32_t sequence) { return writeFailed(sequence, advice()); });
 }
 
+void Sidecars::unknown(CommandId id) {
+    if (const auto place = places_.find(id); place != places_.end()) ++place->second.line->strikes;
+    scrapped(id);
+}
+
 // The one place where a command's place is freed by an answer.
 void Sidecars::answer(CommandId id, const std::function<std::string(std::int32_t)>& frame) {
     const auto place = places_.find(id);
@@ -237,6 +313,10 @@
 void Sidecars::write(Line& line, const std::string& frame) {
     touch(line);
     line.connection.send(frame);
+    if (line.stuck == 0ns) {
+        line.stuck = line.used;
+        line.unread = 0;
+    }
 }
 
 void Sidecars::end(Line& line, net::ConnectionEnd end) {
@@ -247,38 +327,47 @@
         places_.erase(id);
         backend_.callerLeft(id);
     }
-    lines_.erase(line.place);
+    line.connection.writeLast();
+    (line.known ? lines_ : strangers_).erase(line.place);
     if (listener_) listener_->resume();
 }
 
-void Sidecars::closeIdle(Nanos unusedFor) {
-    idle_ = unusedFor;
-    closeUnused();
+// Looks at all connections, whose number is bounded, ten times a second: one without words, one that is too
+// slow with a message or at taking its answers, and one that was sent away and stays, goes.
+void Sidecars::tend() {
+    const Nanos now = net::unixNow();
+    tend_.start(kTend);
+    while (!strangers_.empty() && now - strangers_.front()->since >= kFirstWord)
+        end(*strangers_.front(), net::ConnectionEnd::TimedOut);
+    for (auto next = lines_.begin(); next != lines_.end();) {
+        Line& line = **next++;
+        const std::size_t output = line.connection.output().size();
+        if (output == 0 || output < line.unread) line.stuck = output == 0 ? 0ns : now;
+        line.unread = output;
+        if ((line.begun > 0ns && now - line.begun >= kWholeMessage) ||
+            (line.stuck > 0ns && now - line.stuck >= kWrites))
+            end(line, net::ConnectionEnd::TimedOut);
+        else if (line.strikes >= kMostStrikes)
+            end(line, net::ConnectionEnd::Malformed);
+        else if (line.open.empty() && line.awayAt > 0ns && now - line.awayAt >= kSentAway)
+            end(line, net::ConnectionEnd::Unused);
+        else if (line.open.empty() && line.awayAt == 0ns && idle_ > 0ns && now - line.used >= idle_)
+            sendAway(line);
+    }
+    if (listener_) listener_->resume();
 }
 
 // Sent away rather than closed: a command that crosses is still served.
-void Sidecars::closeUnused() {
-    const Nanos now = net::unixNow();
-    while (idle_ > 0ns && !lines_.empty() && now - lines_.front()->used >= idle_) {
-        Line& line = *lines_.front();
-        touch(line);
-        if (!line.open.empty() || line.sentAway) continue;
-        line.sentAway = true;
-        write(line, writeGoaway());
-    }
-    if (idle_ > 0ns && !lines_.empty())
-        sweep_.start(std::max<Nanos>(lines_.front()->used + idle_ - now, 10ms));
-    else if (idle_ > 0ns)
-        sweep_.start(idle_);
+void Sidecars::sendAway(Line& line) {
+    if (line.awayAt > 0ns) return;
+    line.awayAt = net::unixNow();
+    line.connection.send(writeGoaway());
 }
 
 void Sidecars::sendAway() {
     listener_.reset();
-    for (const auto& line : lines_) {
-        if (line->sentAway) continue;
-        line->sentAway = true;
-        line->connection.send(writeGoaway());
-    }
+    for (const Lines* list : {&lines_, &strangers_})
+        for (const auto& line : *list) sendAway(*line);
 }
 
 }  // namespace cottonwing::intake
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -10,25 +10,27 @@
 
 #include "backend/backend.h"
 #include "intake/thrift.h"
-#include "launch/terms.h"
+#include "launch/start.h"
 #include "net/connection.h"
 
 namespace cottonwing::intake {
 
 class Sidecars : public backend::Door {
 public:
-    Sidecars(net::Loop& loop, const net::Address& at, std::size_t mostConnections, launch::Names names,
-             backend::Backend& backend, report::Log& log, report::Counters& counters);
+    Sidecars(net::Loop& loop, const net::Address& at, const launch::Shares& shares, launch::Names names,
+             const std::vector<ProfileTerms>& profiles, backend::Backend& backend, report::Log& log,
+             report::Counters& counters);
     ~Sidecars() override;
 
     void handled(CommandId id, std::string_view result) override;
     void bounced(CommandId id, Nanos comeBack, bool nowhereElse) override;
     void scrapped(CommandId id) override;
-    void closeIdle(Nanos unusedFor) override;
+    void unknown(CommandId id) override;
+    void closeIdle(Nanos unusedFor) override { idle_ = unusedFor; }
 
     // No new connections and no new commands on those there are.
     void sendAway();
-    std::size_t connections() const { return lines_.size(); }
+    std::size_t connections() const { return lines_.size() + strangers_.size(); }
     int port() const { return listener_->port(); }
 
 private:
@@ -48,20 +50,27 @@
     void write(Line& line, const std::string& frame);
     void touch(Line& line);
     void end(Line& line, net::ConnectionEnd end);
-    void closeUnused();
+    void tend();
+    bool makeRoom();
+    void evict(Line& line);
+    void sendAway(Line& line);
     void tellHealth(Line& line, std::int32_t sequence, bool good);
     Fields advice() const;
 
     net::Loop& loop_;
     const std::size_t most_;
+    const std::shared_ptr<net::Total> total_;
     const launch::Names names_;
+    std::vector<Nanos> hardStops_;  // by profile
     backend::Backend& backend_;
     report::Log& log_;
     report::Counters& counters_;
-    Lines lines_;  // the longest without traffic in front; emptied by the ends of connections
+    Lines lines_;      // the longest without traffic in front; emptied by the ends of connections
+    Lines strangers_;  // those that have yet to say something whole, the oldest in front; emptied by that or
+                       // by time
     std::unordered_map<CommandId, Place> places_;  // open commands; emptied by answers, forget and ends
     Nanos idle_{0};  // connections without traffic for this long are sent away; 0: none
-    net::Timer sweep_;
+    net::Timer tend_;
     std::string scratch_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -79,6 +79,18 @@
     }
 }
 
+// Sidecars open connections up to half of the descriptors, and others come beside them; a sixteenth of the
+// descriptors is left for the other links and what the system opens.
+Shares sharesOf(double megabytes, double sockets) {
+    const auto bytes = [&](double share) { return static_cast<std::size_t>(megabytes * share * (1 << 20)); };
+    return {static_cast<std::size_t>(sockets * 11 / 16),
+            static_cast<std::size_t>(sockets / 4),
+            bytes(0.25),
+            bytes(0.125),
+            bytes(0.125),
+            bytes(0.125)};
+}
+
 }  // namespace
 
 Start readStart(const Environment& environment) {
@@ -115,9 +127,11 @@
     start.stopAfter = Nanos(static_cast<std::int64_t>(positive(all, "", "stop_ms") * 1e6));
     const Json& limits = object(all, "", "limits");
     positive(limits, "limits.", "cores");
-    positive(limits, "limits.", "memory_mb");
-    start.descriptors = static_cast<int>(positive(limits, "limits.", "sockets"));
-    if (start.descriptors < 64) complain("limits.sockets", "at least 64 were expected");
+    const double megabytes = positive(limits, "limits.", "memory_mb"),
+                 sockets = positive(limits, "limits.", "sockets");
+    if (megabytes < 16) complain("limits.memory_mb", "at least 16 were expected");
+    if (sockets < 64) complain("limits.sockets", "at least 64 were expected");
+    start.shares = sharesOf(megabytes, sockets);
 
     const Json& settings = object(all, "", "settings");
     start.terms = readTerms(settings, readSeed(text(all, "seed")), start.names);
--- a/src/listing/registry.cpp
+++ b/src/listing/registry.cpp
@@ -7,7 +7,7 @@
 using namespace std::chrono_literals;
 using report::Count;
 
-constexpr net::Bounds kBounds = {16 << 10, 16 << 10};
+constexpr std::size_t kRing = 16 << 10;
 // The list lapses 3 s after a report: three may fail in between. One that gets no answer may still have
 // counted, so only silence for as long as an entry lasts is told as the registry being away.
 constexpr Nanos kEvery = 800ms, kPatience = 500ms, kAgain = 100ms, kLapses = 3s;
@@ -62,7 +62,7 @@
             answered_ = net::unixNow();
             next_.start(kEvery);
         });
-        connection_.reset(new net::Connection(loop_, at_, *this, kBounds));
+        connection_.reset(new net::Connection(loop_, at_, *this, {kRing, kRing}));
     }
     const std::string body = ready_ ? R"({"state":"ready"})" : R"({"state":"draining"})";
     counters_.add(Count::ReportsSent);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,6 @@
 
 int main() {
     using namespace cottonwing;
-    std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until there is something that can read the file again
     try {
         const launch::Start start = launch::readStart(std::getenv);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,6 +1,7 @@
 #include "net/connection.h"
 
 #include <stdexcept>
+#include <utility>
 
 namespace cottonwing::net {
 
@@ -17,14 +18,14 @@
 
 }  // namespace
 
-Channel::Channel(Loop& theLoop, Connection* theOwner, Bounds bounds)
-    : loop(theLoop), owner(theOwner), in(bounds.in), out(bounds.out) {
+Channel::Channel(Loop& theLoop, Connection* theOwner, const Bounds& bounds)
+    : loop(theLoop), owner(theOwner), in(bounds.in, bounds.total), out(bounds.out, bounds.total) {
     uv_tcp_init(loop.raw(), &tcp);
     tcp.data = connecting.data = writing.data = this;
 }
 
 void Channel::read() {
-    if (reading || closing || !open || halfFull()) return;
+    if (reading || closing || !open || waits || halfFull()) return;
     reading = true;
     uv_read_start(
         stream(tcp),
@@ -52,6 +53,30 @@
     uv_read_stop(stream(tcp));
 }
 
+// One that never stops sending does not hold up the others: its turn ends here, and it is read on after
+// theirs.
+void Channel::later() {
+    if (waits || closing) return;
+    pause();
+    waits = listed = true;
+    loop.readsLater(this);
+}
+
+void Channel::goOn() {
+    listed = false;
+    if (halfFull()) return;  // flush() sees to it
+    waits = false;
+    read();
+    if (owner != nullptr) owner->owner_.arrived(*owner);
+}
+
+void Channel::writeLast() {
+    if (!open || closing || flushing || overflowed || out.empty()) return;
+    const std::string_view piece = out.front();
+    uv_buf_t buffer = uv_buf_init(const_cast<char*>(piece.data()), static_cast<unsigned>(piece.size()));
+    (void)uv_try_write(stream(tcp), &buffer, 1);
+}
+
 void Channel::queue() {
     if (queued) return;
     queued = true;
@@ -90,6 +115,10 @@
         });
         return;
     }
+    if (waits && !listed) {
+        listed = true;
+        loop.readsLater(this);
+    }
     read();
 }
 
@@ -97,7 +126,7 @@
     if (closing) return;
     closing = true;
     owner = nullptr;
-    if (queued) loop.forgets(this);
+    if (queued || listed) loop.forgets(this);
     uv_close(reinterpret_cast<uv_handle_t*>(&tcp),
              [](uv_handle_t* closed) { delete static_cast<Channel*>(closed->data); });
 }
@@ -108,7 +137,7 @@
     connection.owner_.ended(connection, end);
 }
 
-Connection::Connection(Loop& loop, const Address& to, Owner& owner, Bounds bounds)
+Connection::Connection(Loop& loop, const Address& to, Owner& owner, const Bounds& bounds)
     : channel_(new Channel(loop, this, bounds)), owner_(owner) {
     const sockaddr_in address = socketAddress(to);
     uv_tcp_nodelay(&channel_->tcp, 1);
@@ -129,7 +158,7 @@
     channel_->queue();
 }
 
-Connection::Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds)
+Connection::Connection(Loop& loop, uv_stream_t* listener, Owner& owner, const Bounds& bounds)
     : channel_(new Channel(loop, this, bounds)), owner_(owner) {
     if (const int error = uv_accept(listener, stream(channel_->tcp)); error != 0) {
         channel_->close();
@@ -184,7 +213,8 @@
 }
 
 void Listener::resume() {
-    if (handle_->waiting) handle_->take();
+    // Not from within full(), which may end connections.
+    if (std::exchange(handle_->waiting, false)) handle_->take();
 }
 
 int Listener::port() const {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -22,6 +22,7 @@
 
 struct Bounds {
     std::size_t in, out;
+    std::shared_ptr<Total> total = nullptr;
 };
 
 class Connection;
@@ -36,11 +37,14 @@
 
 // The handle and the rings: lives until the loop has let go of the handle.
 struct Channel {
-    Channel(Loop& theLoop, Connection* theOwner, Bounds bounds);
+    Channel(Loop& theLoop, Connection* theOwner, const Bounds& bounds);
     void read();
     void pause();
+    void later();
+    void goOn();
     void queue();  // to be flushed at the end of the turn
     void flush();
+    void writeLast();
     void close();
     bool halfFull() const { return out.size() > out.room(); }
     void fail(ConnectionEnd end);
@@ -54,15 +58,15 @@
     std::shared_ptr<char[]> pinned;  // storage that a pending write reads from
     std::size_t writingSize = 0;     // of that write
     bool open = false, reading = false, flushing = false, queued = false, closing = false, stillborn = false,
-         overflowed = false;
+         overflowed = false, waits = false, listed = false;
 };
 
 class Connection {
 public:
     // Begins to connect; a failure is told by ended(), never from in here.
-    Connection(Loop& loop, const Address& to, Owner& owner, Bounds bounds);
+    Connection(Loop& loop, const Address& to, Owner& owner, const Bounds& bounds);
     // Accepts what waits at a listener.
-    Connection(Loop& loop, uv_stream_t* listener, Owner& owner, Bounds bounds);
+    Connection(Loop& loop, uv_stream_t* listener, Owner& owner, const Bounds& bounds);
     ~Connection();  // closes; the owner hears nothing
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
@@ -70,6 +74,11 @@
     Ring& input() { return channel_->in; }
     // Written at the end of the turn. Without room for all of it the connection ends there instead.
     void send(std::string_view bytes);
+    // Enough for this turn: arrived() is called again in the next one, also if nothing more comes.
+    void readOnLater() { channel_->later(); }
+    // Before the connection is destroyed: what the system takes of its output at once still goes.
+    void writeLast() { channel_->writeLast(); }
+    bool halfFull() const { return channel_->halfFull(); }
     bool isOpen() const { return channel_->open; }
     const Ring& output() const { return channel_->out; }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.h"
 
 #include <algorithm>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -13,6 +14,7 @@
 }
 
 Loop::Loop() {
+    std::signal(SIGPIPE, SIG_IGN);  // a peer that is gone is told by the write
     if (const int error = uv_loop_init(&loop_); error != 0)
         throw std::runtime_error(std::string("loop: ") + uv_strerror(error));
     loop_.data = this;
@@ -20,11 +22,14 @@
     prepare_.data = this;
     uv_prepare_start(&prepare_, [](uv_prepare_t* handle) { static_cast<Loop*>(handle->data)->turn(); });
     uv_unref(reinterpret_cast<uv_handle_t*>(&prepare_));
+    uv_idle_init(&loop_, &idle_);
+    idle_.data = this;
 }
 
 Loop::~Loop() {
     turn_ = nullptr;
     uv_close(reinterpret_cast<uv_handle_t*>(&prepare_), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t*>(&idle_), nullptr);
     uv_run(&loop_, UV_RUN_DEFAULT);  // the close callbacks of all handles
     uv_loop_close(&loop_);
 }
@@ -41,7 +46,26 @@
     }
 }
 
-void Loop::forgets(Channel* channel) { std::erase(toFlush_, channel); }
+void Loop::readsLater(Channel* channel) {
+    toRead_.push_back(channel);
+    if (toRead_.size() > 1) return;
+    uv_idle_start(&idle_, [](uv_idle_t* handle) { static_cast<Loop*>(handle->data)->readOn(); });
+}
+
+// Those that wait now, once each; what one of them adds is for the next turn.
+void Loop::readOn() {
+    for (std::size_t left = toRead_.size(); left > 0 && !toRead_.empty(); --left) {
+        Channel* const channel = toRead_.front();
+        toRead_.erase(toRead_.begin());
+        guarded([channel] { channel->goOn(); });
+    }
+    if (toRead_.empty()) uv_idle_stop(&idle_);
+}
+
+void Loop::forgets(Channel* channel) {
+    std::erase(toFlush_, channel);
+    std::erase(toRead_, channel);
+}
 
 struct Timer::Handle {
     uv_timer_t timer;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -36,6 +36,7 @@
     static Loop& of(uv_loop_t* raw) { return *static_cast<Loop*>(raw->data); }
 
     void wantsFlush(Channel* channel) { toFlush_.push_back(channel); }
+    void readsLater(Channel* channel);
     void forgets(Channel* channel);
 
     template <typename Work>
@@ -49,12 +50,15 @@
 
 private:
     void turn();
+    void readOn();
 
     uv_loop_t loop_;
     uv_prepare_t prepare_;
+    uv_idle_t idle_;
     std::function<void()> turn_;
     std::function<void(const std::string&)> trouble_;
     std::vector<Channel*> toFlush_;  // with output; emptied at the end of each turn
+    std::vector<Channel*> toRead_;   // with more to read than a turn takes; emptied by the next one
 };
 
 // Rings once, at or after the time asked for: whole milliseconds, counted from fresh time and rounded up.
--- a/src/net/ring.h
+++ b/src/net/ring.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
 #include <memory>
 #include <span>
@@ -11,9 +12,18 @@
 
 namespace cottonwing::net {
 
+// What the rings of one kind of connection hold together, and may.
+struct Total {
+    std::size_t most = SIZE_MAX, held = 0;
+};
+
 class Ring {
 public:
-    explicit Ring(std::size_t most) : most_(most) {}
+    explicit Ring(std::size_t most, std::shared_ptr<Total> total = nullptr)
+        : most_(most), total_(std::move(total)) {}
+    ~Ring() { hold(0); }
+    Ring(const Ring&) = delete;
+    Ring& operator=(const Ring&) = delete;
 
     std::size_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
@@ -23,6 +33,7 @@
     // All of the bytes or, where they don't fit under the bound, none.
     bool write(std::string_view bytes) {
         if (bytes.size() > room()) return false;
+        if (size_ + bytes.size() > capacity_ && !grow(size_ + bytes.size())) return false;
         while (!bytes.empty()) {
             const std::span<char> to = space(bytes.size());
             const std::size_t part = std::min(to.size(), bytes.size());
@@ -33,9 +44,9 @@
         return true;
     }
 
-    // Where the next bytes may be put; empty only when the ring is full.
+    // Where the next bytes may be put; empty only when the ring is full, or all rings together are.
     std::span<char> space(std::size_t wanted = 1) {
-        if (size_ + wanted > capacity_ && capacity_ < most_) grow(size_ + wanted);
+        if (size_ + wanted > capacity_ && capacity_ < most_) (void)grow(size_ + wanted);
         if (size_ == capacity_) return {};
         const std::size_t at = (head_ + size_) % capacity_;
         return {bytes_.get() + at, at < head_ ? head_ - at : capacity_ - at};
@@ -70,7 +81,7 @@
         head_ = size_ == 0 ? 0 : (head_ + count) % capacity_;
         if (size_ == 0 && capacity_ > kKept) {
             bytes_.reset();
-            capacity_ = 0;
+            hold(0);
         }
     }
 
@@ -80,8 +91,14 @@
 private:
     static constexpr std::size_t kFirst = 2048, kKept = 16384;
 
-    void grow(std::size_t wanted) {
+    void hold(std::size_t capacity) {
+        if (total_ != nullptr) total_->held += capacity - capacity_;
+        capacity_ = capacity;
+    }
+
+    bool grow(std::size_t wanted) {
         const std::size_t capacity = std::min(most_, std::max({wanted, 2 * capacity_, kFirst}));
+        if (total_ != nullptr && total_->held + capacity - capacity_ > total_->most) return false;
         std::shared_ptr<char[]> bytes(new char[capacity]);
         const std::string_view piece = front();
         if (size_ > 0) {
@@ -89,11 +106,13 @@
             std::memcpy(bytes.get() + piece.size(), bytes_.get(), size_ - piece.size());
         }
         bytes_ = std::move(bytes);
-        capacity_ = capacity;
+        hold(capacity);
         head_ = 0;
+        return true;
     }
 
     std::size_t most_;
+    std::shared_ptr<Total> total_;
     std::shared_ptr<char[]> bytes_;
     std::size_t capacity_ = 0, head_ = 0, size_ = 0;
 };
--- a/src/report/counters.h
+++ b/src/report/counters.h
@@ -13,6 +13,7 @@
     Rounds,
     SidecarsOpened,
     CommandsRead,
+    SidecarsEvicted,  // closed as their place was needed
     CommandsRefused,  // never taken in: answered with an application exception
     BadFrames,
     Forgotten,
@@ -20,6 +21,7 @@
     Handled,
     Bounced,
     Scrapped,
+    NoMemory,     // of the bounced: for our own limit
     CallersLeft,  // taken in, and never answered because nobody waited any more
     RunsStarted,
     RunsHalted,
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -10,7 +10,6 @@
 using namespace std::chrono_literals;
 using report::Count;
 
-constexpr net::Bounds kBounds = {1 << 20, 4 << 20};
 constexpr Nanos kCheck = 250ms;  // what a check may take
 constexpr Nanos kSilent = 1s;    // polls unanswered for that long: the link is open but dead
 constexpr int kAgainLeast = 20, kAgainMost = 100;  // milliseconds before a lost link is opened again
@@ -19,11 +18,12 @@
 
 }  // namespace
 
-PoolLink::PoolLink(net::Loop& loop, net::Address at, std::vector<std::string> profiles,
-                   std::vector<std::string> gauges, std::uint64_t seed, backend::Backend& backend,
-                   report::Log& log, report::Counters& counters)
+PoolLink::PoolLink(net::Loop& loop, net::Address at, const launch::Shares& shares,
+                   std::vector<std::string> profiles, std::vector<std::string> gauges, std::uint64_t seed,
+                   backend::Backend& backend, report::Log& log, report::Counters& counters)
     : loop_(loop),
       at_(std::move(at)),
+      bytes_(shares.poolBytes),
       profiles_(std::move(profiles)),
       gauges_(std::move(gauges)),
       chance_(static_cast<std::mt19937::result_type>(seed)),
@@ -39,7 +39,7 @@
     again_.stop();
     searched_ = 0;
     unheard_ = 0ns;
-    connection_.reset(new net::Connection(loop_, at_, *this, kBounds));
+    connection_.reset(new net::Connection(loop_, at_, *this, {bytes_ / 4, bytes_ - bytes_ / 4}));
     connection_->send(bindLine(last_));
 }
 
@@ -154,7 +154,7 @@
             log_.warn("pool", notice.state + " not carried out for " + notice.job);
             // Nothing of it runs, which tells of its caller and nothing of our runs; other commands that were
             // not carried out leave a run as it is.
-            if (id && notice.state == "spawn") backend_.runEnded(*id, Outcome::Moot, 0ns, {});
+            if (id && notice.state == "spawn") backend_.runUnknown(*id);
             return;
         case NoticeKind::Verified:
             if (notice.tag == std::to_string(verified_)) tell(notice.state == "ok");
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "backend/backend.h"
+#include "launch/start.h"
 #include "net/connection.h"
 #include "runs/notices.h"
 
@@ -17,9 +18,9 @@
 
 class PoolLink : public backend::Runs, private net::Owner {
 public:
-    PoolLink(net::Loop& loop, net::Address at, std::vector<std::string> profiles,
-             std::vector<std::string> gauges, std::uint64_t seed, backend::Backend& backend, report::Log& log,
-             report::Counters& counters);
+    PoolLink(net::Loop& loop, net::Address at, const launch::Shares& shares,
+             std::vector<std::string> profiles, std::vector<std::string> gauges, std::uint64_t seed,
+             backend::Backend& backend, report::Log& log, report::Counters& counters);
 
     void start(const std::string& name, int profile, std::string_view body) override;
     void halt(const std::string& name) override;
@@ -41,6 +42,7 @@
 
     net::Loop& loop_;
     net::Address at_;
+    const std::size_t bytes_;  // both rings
     const std::vector<std::string> profiles_, gauges_;
     std::mt19937 chance_;
     backend::Backend& backend_;
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -7,8 +7,6 @@
 using namespace std::chrono_literals;
 
 constexpr Nanos kLastMoment = 60ms;  // before the process is killed, whatever is left
-// Parts of the descriptors; sidecars open up to half of them, and what remains is for the other links.
-constexpr double kForSidecars = 0.75, kForCalls = 0.125;
 
 std::vector<std::string> inOrder(const std::map<std::string, int, std::less<>>& names) {
     std::vector<std::string> result(names.size());
@@ -16,8 +14,6 @@
     return result;
 }
 
-std::size_t part(int descriptors, double share) { return static_cast<std::size_t>(descriptors * share); }
-
 }  // namespace
 
 Server::Server(net::Loop& loop, const launch::Start& start, report::Log& log, report::Counters& counters)
@@ -27,12 +23,11 @@
       counters_(counters),
       stopAfter_(start.stopAfter),
       grace_(std::min(start.terms.drainGrace, start.stopAfter / 2)),
-      backend_(loop, start.terms, log, counters),
-      pool_(loop, start.pool, inOrder(start.names.profiles), start.gauges, start.terms.seed, backend_, log,
+      backend_(loop, start.terms, start.shares.commandBytes, log, counters),
+      pool_(loop, start.pool, start.shares, inOrder(start.names.profiles), start.gauges, start.terms.seed, backend_, log,
             counters),
-      records_(loop, start.records, part(start.descriptors, kForCalls), backend_, counters),
-      sidecars_(loop, start.listen, part(start.descriptors, kForSidecars), start.names, backend_, log,
-                counters),
+      records_(loop, start.records, start.shares, backend_, counters),
+      sidecars_(loop, start.listen, start.shares, start.names, start.terms.profiles, backend_, log, counters),
       registry_(loop, start.registry, start.name, log, counters),
       away_(loop,
             [this] {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -40,6 +40,32 @@
     EXPECT_EQ(ring.capacity(), 0U);
 }
 
+TEST(Ring, KeepsToATotal) {
+    const auto total = std::make_shared<net::Total>(net::Total{8192, 0});
+    {
+        net::Ring first(1 << 20, total), second(1 << 20, total);
+        ASSERT_TRUE(first.write(std::string(6000, 'x')));
+        EXPECT_FALSE(second.write(std::string(6000, 'y')));
+        EXPECT_TRUE(second.empty());
+        EXPECT_TRUE(second.space(4000).empty() || second.capacity() + first.capacity() <= 8192);
+        EXPECT_LE(total->held, 8192U);
+    }
+    EXPECT_EQ(total->held, 0U);
+}
+
+// Whatever the limits are, all that has a bound stays below them in total.
+RC_GTEST_PROP(Shares, StayBelowTheLimits, ()) {
+    const int sockets = *rc::gen::inRange(64, 4096), megabytes = *rc::gen::inRange(16, 1024);
+    Json all = testing::plainStart();
+    all["limits"] = {{"cores", 0.5}, {"memory_mb", megabytes}, {"sockets", sockets}};
+    const launch::Shares shares = testing::startOf(all).shares;
+    RC_ASSERT(shares.sidecars * 2 > static_cast<std::size_t>(sockets));  // theirs by right, and some
+    RC_ASSERT(shares.sidecars + shares.calls + 4 <= static_cast<std::size_t>(sockets));
+    const std::size_t bytes = static_cast<std::size_t>(megabytes) << 20;
+    RC_ASSERT(shares.sidecarBytes + shares.callBytes + shares.commandBytes + shares.poolBytes <=
+              bytes / 8 * 5);
+}
+
 TEST(ConnectionEnd, HasOneOutcomeEach) {
     const std::map<ConnectionEnd, Outcome> expected = {{ConnectionEnd::PeerClosed, Outcome::Broken},
                                                        {ConnectionEnd::Reset, Outcome::Broken},
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -143,14 +143,25 @@
         return fields;
     };
     const std::vector<testing::Reply> bad = {
-        with("route", "write"), with("route", ""),      with("customer", "nobody"), with("trace", "12"),
-        with("born", ""),       with("born", "1e3"),    with("patience", "-4"),     with("size", ""),
-        with("size", "0"),      with("size", "2000.5"), with("weight", "nan"),      with("order", "x")};
+        with("route", "write"),     with("route", ""),
+        with("customer", "nobody"), with("trace", "12"),
+        with("born", ""),           with("born", "1e3"),
+        with("patience", "-4"),     with("size", ""),
+        with("size", "0"),          with("size", "2000.5"),
+        with("weight", "nan"),      with("order", "x"),
+        with("order", "1"),         with("order", "-0.1"),
+        with("weight", "8000.1"),   with("weight", "-1"),
+        with("born", "1000"),       with("client", "-1"),
+        with("client", "1e3"),      with("redo", "2"),
+        with("patience", "8001"),   with("born", std::to_string(net::unixNow() / 1ms + 5000))};
     std::int32_t sequence = 0;
     for (const testing::Reply& fields : bad) {
+        // A few are borne with on one connection, not many.
+        if (sequence % 6 == 0) on.sidecar = std::make_unique<Sidecar>(on.loop, on.port());
         on.sidecar->say(frames::serve(++sequence, fields, "body"));
         EXPECT_EQ(on.answer(sequence).kind, "refusal") << sequence;
     }
+    on.sidecar = std::make_unique<Sidecar>(on.loop, on.port());
     on.sidecar->say(frames::serve(++sequence, Sidecar::fields(9), std::string(2049, 'x')));
     EXPECT_EQ(on.answer(sequence).kind, "refusal");
     on.sidecar->say(
@@ -227,7 +238,7 @@
     // It is read from only as long as its output has room: the writes get stuck.
     for (int turns = 0, stuck = 0; stuck < 200 && turns < 100000; ++turns) {
         const ssize_t now = send(peer, asks.data() + written % asks.size(),
-                                 asks.size() - written % asks.size(), MSG_DONTWAIT);
+                                 asks.size() - written % asks.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
         if (now > 0) written += static_cast<std::size_t>(now);
         stuck = now > 0 ? 0 : stuck + 1;
         uv_run(on.loop.raw(), UV_RUN_NOWAIT);
@@ -242,6 +253,108 @@
     on.wait([&] { return on.program->sidecars().connections() == 1; });
 }
 
+// Places: those that stay silent, hold half a message or asked once keep nobody out.
+TEST(Places, GoToThoseThatSpeak) {
+    Served on;
+    std::vector<std::unique_ptr<Sidecar>> silent, once;
+    const auto open = [&](std::vector<std::unique_ptr<Sidecar>>& list, std::size_t count,
+                          const std::string& says) {
+        for (std::size_t i = 0; i < count; ++i) {
+            list.push_back(std::make_unique<Sidecar>(on.loop, on.port()));
+            list.back()->say(says);
+        }
+    };
+    // The first has a command in hand, and keeps its place while as many as there are come and stay.
+    const std::int32_t sequence = on.sidecar->ask(1);
+    on.running(1);
+    const Nanos from = net::unixNow();
+    open(silent, 100, "");
+    open(silent, 100, frames::isWell(1, false).substr(0, 9));
+    open(once, on.server.shares.sidecars + 20, frames::isWell(1, false));
+    on.wait([&] {
+        return std::all_of(once.begin(), once.end(),
+                           [](const auto& one) { return one->answers.contains(1); });
+    });
+    on.wait(
+        [&] { return std::all_of(silent.begin(), silent.end(), [](const auto& one) { return one->gone; }); });
+    EXPECT_LT(net::unixNow() - from, 3s);
+    EXPECT_GT(on.count(Count::SidecarsEvicted), 20U);
+    EXPECT_LE(on.program->sidecars().connections(), on.server.shares.sidecars);
+    // Half a message on one that has spoken before: it is closed, whatever else trickles in.
+    Sidecar& half = *once.back();
+    half.say(std::string("\0\0\1\0", 4));
+    on.wait([&] {
+        if (!half.gone) half.say("x");
+        return half.gone;
+    });
+    on.finish(1);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+}
+
+TEST(Places, AreNotForThoseWhoGoOnAskingForNothing) {
+    Served on;
+    const auto asks = [&](Sidecar& from, const std::function<void()>& ask) {
+        for (int i = 0; i < 8; ++i) {
+            ask();
+            on.wait([&] { return from.answers.contains(from.sequence); });
+        }
+        on.wait([&] { return from.gone; });
+    };
+    asks(*on.sidecar, [&] { on.sidecar->ask(1, "", "nothing"); });
+    Sidecar other(on.loop, on.port());
+    int number = 100;
+    asks(other, [&] {  // whole, and unknown to the pool
+        on.pool.refused.push_back(Sidecar::trace(++number));
+        other.ask(number);
+    });
+    on.expectBooksClosed();
+}
+
+TEST(Places, OneThatNeverStopsSendingHasItsTurnLikeOthers) {
+    Served on;
+    std::string flood;
+    for (int i = 1; i <= 600; ++i) flood += frames::forget(i, 7);
+    on.sidecar->say(flood);
+    std::uint64_t most = 0;
+    on.wait([&] {
+        const std::uint64_t before = on.count(Count::Forgotten);
+        uv_run(on.loop.raw(), UV_RUN_NOWAIT);
+        most = std::max(most, on.count(Count::Forgotten) - before);
+        return on.count(Count::Forgotten) == 600;
+    });
+    EXPECT_LE(most, 130U);  // two turns, at most, lie between two looks
+}
+
+TEST(Memory, WhatIsInHandStaysWithinItsShare) {
+    Json start = testing::plainStart();
+    start["limits"]["memory_mb"] = 16;
+    Served on(start);
+    const std::string body(2048, 'x');
+    std::vector<std::unique_ptr<Sidecar>> sidecars;
+    int asked = 0;
+    for (int i = 0; i < 12; ++i) {
+        sidecars.push_back(std::make_unique<Sidecar>(on.loop, on.port()));
+        for (int n = 0; n < 32; ++n) {
+            testing::Reply fields = Sidecar::fields(++asked);
+            fields["size"] = "0.001";  // books next to nothing of the pool's memory
+            sidecars.back()->say(frames::serve(++sidecars.back()->sequence, fields, body));
+        }
+    }
+    on.wait([&] { return on.count(Count::CommandsRead) == static_cast<std::uint64_t>(asked); });
+    EXPECT_GT(on.count(Count::NoMemory), 20U);
+    EXPECT_LT(on.program->backend().inHand() * 3 * body.size(), on.server.shares.commandBytes);
+    on.wait([&] {
+        for (const auto& [job, data] : std::map<std::string, std::string>(on.pool.running))
+            on.pool.finish(job);
+        return on.program->backend().inHand() == 0;
+    });
+    on.expectBooksClosed();
+    const std::int32_t sequence = on.sidecar->ask(1000, body);  // all that was counted has been given back
+    on.running(1000);
+    on.finish(1000);
+    EXPECT_EQ(on.answer(sequence).kind, "answer");
+}
+
 TEST(Health, TellsFromTheModuleAndFromWorkDone) {
     Served on;
     on.sidecar->say(frames::isWell(1, false));
@@ -343,6 +456,7 @@
     EXPECT_EQ(on.count(Count::PoolUnknown), 1U);
     // Callers that ask for what the pool does not know do not close the backend for others.
     for (int i = 2; i < 30; ++i) {
+        if (i % 6 == 0) on.sidecar = std::make_unique<Sidecar>(on.loop, on.port());
         on.pool.refused.push_back(Sidecar::trace(i));
         EXPECT_EQ(on.answer(on.sidecar->ask(i)).kind, "failed");
     }
@@ -524,8 +638,11 @@
     report::Log log(lines, report::Level::Debug);
     report::Counters counters;
     net::Loop loop;
-    backend::Backend backend(loop, StartTerms(), log, counters);
-    calls::Records records(loop, {"127.0.0.1", ntohs(at.sin_port)}, 4, backend, counters);
+    backend::Backend backend(loop, StartTerms(), 1 << 20, log, counters);
+    launch::Shares shares;
+    shares.calls = 4;
+    shares.callBytes = 1 << 20;
+    calls::Records records(loop, {"127.0.0.1", ntohs(at.sin_port)}, shares, backend, counters);
     const std::string reply = HttpStandIn::reply(200, "good");
     const auto serve = [&] {
         const int peer = accept(listener, nullptr, nullptr);
@@ -668,6 +785,7 @@
     start["settings"]["family_info"]["senders"] = 1000;  // each comes back seldom: idle ones go early
     start["settings"]["family_info"]["idle_us"] = 1200000;
     Served on(start);
+    on.sidecar->say(frames::isWell(++on.sidecar->sequence, false));
     on.wait([&] { return on.sidecar->goaways == 1; });
     const std::int32_t sequence = on.sidecar->ask(1);  // crossed the word
     on.running(1);
