--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -37,6 +37,8 @@
             return Count::CallsBroken;
         case Outcome::Moot:
             return Count::CallsMoot;
+        case Outcome::Spoilt:
+            return Count::CallsSpoilt;
         case Outcome::NoRoom:
             return Count::CallsNoRoom;
         case Outcome::Cancelled:
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -33,7 +33,7 @@
 constexpr Nanos kStall = 150ms;        // a pulse this late means that the process stood still
 constexpr Nanos kAnswerMargin = 30ms;  // answered this long before the hard stop
 constexpr Nanos kLeaveMargin = 150ms;  // answered this long before the process ends
-constexpr double kAttemptLeast = 0.25, kAttemptMost = 0.5;  // AttemptTimeout, of the shortest promised time
+constexpr double kAttemptLeast = 0.05, kAttemptMost = 0.5;  // AttemptTimeout, of the shortest promised time
 constexpr double kAttemptCalls = 7.0;  // between those, as a multiple of what good calls take in the long run
 constexpr double kBackoffShare = 1.0 / 16;  // BackoffBase as a part of AttemptTimeout
 constexpr double kOpenShare = 1.0;          // OpenFor as a multiple of AttemptTimeout
@@ -217,9 +217,8 @@
             (runs_.state == Breaker::State::HalfOpen && (running_ > 0 || !hold_.empty())))
             return giveUp(at, terms_.longestComeBack);
         // A command that would meet an open breaker is turned away before it costs work.
-        if (breaker_.state == Breaker::State::Open && row.terms.calls && row.terms.poorerShare <= 0) {
+        if (breaker_.state == Breaker::State::Open && row.terms.calls && row.terms.poorerShare <= 0)
             return giveUp(at, breaker_.until - now_);
-        }
         hold_.emplace(at->second.due, command.id);
     }
 
@@ -375,9 +374,8 @@
     }
 
     void answerOverdue() {
-        while (!overdue_.empty() && overdue_.begin()->first <= now_ + kPulse) {
+        while (!overdue_.empty() && overdue_.begin()->first <= now_ + kPulse)
             giveUp(table_.find(overdue_.begin()->second));
-        }
     }
 
     // ---- the hold -----------------------------------------------------------------------------------------
@@ -459,8 +457,9 @@
             ahead += cost;
             calls += kept.back().calls;
             const double wait = std::max(0.0, ahead / limit_ - cost / limit_);
-            if (now_ + nanos(std::max(wait, calls) + kCaution * all) <= latest) continue;
-            const bool callsBind = calls > wait;
+            const double line = row.calls > 0 ? calls : 0;  // one that makes no call waits for none
+            if (now_ + nanos(std::max(wait, line) + kCaution * all) <= latest) continue;
+            const bool callsBind = line > wait;
             auto least = kept.end();
             for (auto entry = kept.begin(); entry != kept.end(); ++entry)
                 if ((!callsBind || entry->calls > 0) &&
@@ -491,18 +490,23 @@
         return terms_.cores * (1 + (terms_.fallMultiple - 1) * speed) * kCrowdSafety;
     }
 
+    void toCores(InHand& in) { in.phase = Phase::Running, in.since = now_, ++onCores_; }
+
     void startHeld() {
-        while (!hold_.empty() && onCores_ < std::min(limit_, crowdCeiling()) && running_ < crowdCeiling()) {
-            const auto at = table_.find(hold_.begin()->second);
+        // One that would only wait for its call there takes memory and the place of one that makes none, and
+        // is lost work where it can't be served: bounced from the hold, it may still be handled elsewhere.
+        const double line = callPace() * static_cast<double>(atCalls_.size());
+        const double ceiling = crowdCeiling(), most = std::min(limit_, ceiling);
+        for (auto next = hold_.begin(); next != hold_.end() && onCores_ < most && running_ < ceiling;) {
+            const auto at = table_.find((next++)->second);
             InHand& in = at->second;
+            if (profiles_[in.profile].terms.calls && line > onCores(in, profiles_[in.profile])) continue;
             if (memoryKb() + in.kb * (terms_.runFactor - 1) > kStartMark * terms_.memoryKb) return;
-            hold_.erase(hold_.begin());
-            in.phase = Phase::Running;
+            hold_.erase({in.due, at->first});
+            toCores(in);
             in.ran = true;
-            in.since = now_;
             heldKb_ -= in.kb;
             runningKb_ += in.kb;
-            ++onCores_;
             ++running_;
             out_->start(at->first);
         }
@@ -532,9 +536,10 @@
         --callsOut_;
         if (timedOut || result.outcome == Outcome::Broken) lingering_.insert(now_ + terms_.linger);
         // Time-outs of a process that stood still, or of a command with little time of its own, and what our
-        // own limits kept back say nothing of the dependency.
+        // own limits kept back say nothing of the dependency; one whose reply was spoilt has done its work.
         const bool noRoom = result.outcome == Outcome::NoRoom;
-        const bool ours = noRoom || (timedOut && (now_ <= stalledUntil_ || in.weak));
+        const bool ours =
+            noRoom || result.outcome == Outcome::Spoilt || (timedOut && (now_ <= stalledUntil_ || in.weak));
         if (in.probe) breaker_.probing = in.probe = false;
         if (!ours) book(breaker_, "call", good, nanos(seconds(attemptTimeout_) * kOpenShare));
         if (!noRoom)
@@ -543,19 +548,14 @@
         // one.
         if (timedOut) unused_ -= seconds(result.took) * draw();
         if (good || timedOut) learnCallTime(seconds(result.took), good);
-        if (good) {
-            in.phase = Phase::Running;
-            in.since = now_;
-            ++onCores_;
-            return;
-        }
+        if (good) return toCores(in);
         in.phase = Phase::AtCall;
         if (in.answered) return;
         const bool neverRan =
             noRoom || result.outcome == Outcome::Full || result.outcome == Outcome::Unreachable;
         const bool repeats = terms.repeat == Repeat::Repeatable ? result.outcome != Outcome::Error : neverRan;
-        const double most = std::min(seconds(attemptTimeout_), seconds(attemptTimeout_) * kBackoffShare *
-                                                                   std::pow(2.0, in.attempts - 1));
+        const double most =
+            seconds(attemptTimeout_) * std::min(1.0, kBackoffShare * std::pow(2.0, in.attempts - 1));
         in.readyAt = now_ + nanos(most * draw());
         if (repeats && in.attempts < kMaxAttempts && tokens_ > kMaxTokens / 2 && in.readyAt < in.promised) {
             atCalls_.emplace(in.due, result.id);
@@ -587,7 +587,8 @@
     // The dependency slows long before it falls: calls that take a multiple of what they usually take mean
     // that all of us have too many out.
     void learnCallTime(double took, bool good) {
-        callTime_ += (took - callTime_) * 0.1;
+        // One that hung is no crowd, many are: a time-out counts no more than twice what tells of one.
+        callTime_ += ((good ? took : std::min(took, 2 * kCrowdedCall * usualCall_)) - callTime_) * 0.1;
         if (good) {
             usualCall_ =
                 usualCall_ == 0 ? took : usualCall_ + (took - usualCall_) * (took < usualCall_ ? 0.1 : 0.01);
@@ -614,9 +615,7 @@
         InHand& in = at->second;
         atCalls_.erase({in.due, at->first});
         if (profiles_[in.profile].terms.poorerShare <= 0) return giveUp(at);
-        in.phase = Phase::Running;
-        in.since = now_;
-        ++onCores_;
+        toCores(in);
         out_->leaveOut(at->first);
     }
 
--- a/src/logic.h
+++ b/src/logic.h
@@ -28,7 +28,8 @@
     Broken,
     Cancelled,
     Moot,
-    NoRoom  // kept back by a limit of our own: it never left, and says nothing of the other side
+    Spoilt,  // a reply came that can't be read: the call has run, and is in nobody's hands any more
+    NoRoom   // kept back by a limit of our own: it never left, and says nothing of the other side
 };
 
 struct ProfileTerms {
--- a/src/net/ending.cpp
+++ b/src/net/ending.cpp
@@ -18,10 +18,11 @@
             return Outcome::TimedOut;
         case ConnectionEnd::Abandoned:
             return Outcome::Cancelled;
-        case ConnectionEnd::PeerClosed:
-        case ConnectionEnd::Reset:
         case ConnectionEnd::Malformed:
         case ConnectionEnd::TooLong:
+            return Outcome::Spoilt;
+        case ConnectionEnd::PeerClosed:
+        case ConnectionEnd::Reset:
         case ConnectionEnd::Unused:
             break;
     }
--- a/src/report/counters.h
+++ b/src/report/counters.h
@@ -33,6 +33,7 @@
     CallsTimedOut,
     CallsUnreachable,
     CallsBroken,
+    CallsSpoilt,
     CallsMoot,
     CallsGivenUp,
     CallsNoRoom,
