--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -500,7 +500,7 @@
         for (auto next = hold_.begin(); next != hold_.end() && onCores_ < most && running_ < ceiling;) {
             const auto at = table_.find((next++)->second);
             InHand& in = at->second;
-            if (profiles_[in.profile].terms.calls && line > onCores(in, profiles_[in.profile])) continue;
+            if (profiles_[in.profile].terms.calls && line > 2 * onCores(in, profiles_[in.profile])) continue;
             if (memoryKb() + in.kb * (terms_.runFactor - 1) > kStartMark * terms_.memoryKb) return;
             hold_.erase({in.due, at->first});
             toCores(in);
