--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -605,7 +605,7 @@
 template <typename Use>
 auto withFile(const Json& all, Use&& use,
               Reply variables = {{"GW_NAME", "n3"}, {"GW_LISTEN", "127.0.0.1:0"}}) {
-    const std::string path = ::testing::TempDir() + "cottonwing-start.json";
+    const std::string path = ::testing::TempDir() + "cottonwing-start-" + std::to_string(getpid()) + ".json";
     std::ofstream(path) << all.dump();
     variables.emplace("GW_CONFIG", path);
     return use([&](const char* key) -> const char* {
