One place unbinds the pool's link, one books an answer

PoolLink::lost and moveTo wrote the same two lines; runUnknown kept by hand the books that answered keeps. Not played on sockets again.

--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -110,9 +110,7 @@
     if (at == table_.end() || !at->second.running) return;
     if (at->second.waiting()) {
         door_->unknown(id);
-        at->second.answered = true;
-        counters_.add(Count::Scrapped);
-        --unanswered_;
+        answered(at, Count::Scrapped);  // its run has yet to end, so it stays
     }
     runEnded(id, Outcome::Moot, 0ns, {});
 }
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -58,9 +58,14 @@
 void PoolLink::moveTo(net::Address at) {
     at_ = std::move(at);
     log_.info("pool", "moves to " + at_.host + ":" + std::to_string(at_.port));
+    unbind();
+    open();
+}
+
+// What was said shortly before may be lost, from the first such loss until a link has caught up.
+void PoolLink::unbind() {
     if (bound_ && lostAt_ == 0ns) lostAt_ = net::unixNow();
     bound_ = false;
-    open();
 }
 
 // One check at a time serves all who ask meanwhile.
@@ -110,8 +115,7 @@
         log_.warn("pool", std::string(bound_ ? "link lost: " : "no link: ") + net::nameOf(end));
     // One that served is opened again at once: runs that end meanwhile hold up what waits for the cores.
     const bool atOnce = bound_;
-    if (bound_ && lostAt_ == 0ns) lostAt_ = net::unixNow();
-    bound_ = false;
+    unbind();
     away_ = true;
     connection_.reset();
     again_.start(atOnce ? 0ns : 1ms * std::uniform_int_distribution<int>(kAgainLeast, kAgainMost)(chance_));
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -34,6 +34,7 @@
     void arrived(net::Connection& connection) override;
     void ended(net::Connection& connection, net::ConnectionEnd end) override;
     void open();
+    void unbind();
     void lost(net::ConnectionEnd end);
     void say(const std::string& line);
     void hear(const Notice& notice);
