--- a/src/intake/thrift.h
+++ b/src/intake/thrift.h
@@ -2,16 +2,16 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "net/ring.h"
+#include "thrift/binary.h"
 
 namespace cottonwing::intake {
 
-using Fields = std::map<std::string, std::string, std::less<>>;
+using thrift::Fields;
 
 inline constexpr std::size_t kLongestFrame = 16384;
 
--- /dev/null
+++ b/src/lab/callers.h
@@ -0,0 +1,137 @@
+// The callers of one worker: each command is sent at its time whatever comes back, waited for, given up and
+// tried again as its caller's habits have it, and ends in exactly one way.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "decide/attempts/attempts.h"
+#include "decide/choice/choice.h"
+#include "decide/members/members.h"
+#include "lab/pace.h"
+#include "lab/sidecar_thrift.h"
+#include "lab/tally.h"
+#include "net/connection.h"
+
+namespace cottonwing::lab {
+
+struct Habits {
+    int callers = 4;  // each with a budget, connections and a view of the servers of its own
+    std::vector<net::Address> targets;
+    decide::Way way = decide::Way::TwoChoices;
+    decide::AttemptTerms attempts;
+    decide::MemberTerms members;
+    int connections = 8;  // to one server, of one caller, at most
+    int openEach = 32;    // commands on one connection
+    Nanos closesIdle{std::chrono::seconds(10)};
+    Nanos connectsWithin{std::chrono::seconds(1)};
+    Nanos checksEvery{0};  // 0: no health checks
+    bool thorough = false;
+    bool forgets = true, honoursAdvice = true, checksResults = true;
+    std::size_t openMost = 200000;  // commands in hand of one worker, beyond which none is sent
+    int closed = 0;                 // above 0: that many at once, each after the one before (a baseline)
+};
+
+struct Clocks {
+    std::function<Nanos()> steady = steadyNow, unix = net::unixNow;
+};
+
+// The id of one try, 16 hex digits; never the same for two tries of a run.
+std::string traceOf(std::uint64_t seed, std::uint64_t number, int attempt);
+// What the emulated worker pool is told by a command's body, and what it answers.
+std::string bodyOf(const Planned& planned, int calls, const std::string& firstTrace);
+
+// What an independent observer may count for itself; called on the worker's own thread.
+class Watcher {
+public:
+    virtual ~Watcher() = default;
+    virtual void planned(const Planned&, Nanos /*scheduled*/) {}
+    virtual void sent(const Planned&, const std::string& /*trace*/, const std::string& /*first*/,
+                      std::size_t /*target*/) {}
+    virtual void answered(const std::string& /*trace*/, Heard::Kind) {}
+    virtual void released(const std::string& /*trace*/) {}  // answered, given up or its connection gone
+    virtual void ended(const Planned&, const std::string& /*lastTrace*/, End) {}
+};
+
+// Seen from other threads while the run goes on.
+struct Progress {
+    std::atomic<std::uint64_t> planned{0}, ended{0}, handled{0};
+    std::atomic<bool> done{false};
+};
+
+class Callers {
+public:
+    Callers(net::Loop& loop, Habits habits, const PlanTerms& plan, int worker, int workers, Tally& tally,
+            Progress& progress, Clocks clocks = {}, Watcher* watcher = nullptr);
+    ~Callers();
+    void start(Nanos steady);  // of the plan's time 0
+    void stop();               // nothing more is sent; what is open may still end
+    void cut();                // and now ends without an answer
+    void onDone(std::function<void()> told) { doneTold_ = std::move(told); }
+    bool done() const { return done_; }
+
+private:
+    struct Line;
+    struct Caller;
+    struct Command {
+        Planned planned;
+        Nanos scheduled{0}, stopsAt{0}, written{0}, firstWritten{0}, waited{0};
+        Nanos due{0};  // its one entry in the agenda
+        std::string trace, first;
+        std::size_t caller = 0;
+        std::optional<std::size_t> target;  // of the last try
+        Line* line = nullptr;               // while a try is out
+        std::int32_t sequence = 0;
+        int attempts = 0;
+        bool sentAgain = false, everSent = false, queued = false;
+        End worst = End::NeverSent;  // how the last try ended
+    };
+    using Table = std::unordered_map<std::uint64_t, Command>;
+
+    void pump();
+    void dispatch(Nanos now);
+    void take(const Planned& planned, Nanos scheduled, Nanos now);
+    void begin(std::uint64_t id, Nanos now);
+    bool put(std::uint64_t id, Command& command, std::size_t target, Nanos now);
+    void tryFailed(std::uint64_t id, Nanos now, decide::Began began, End how,
+                   std::optional<Nanos> comeBack = {}, bool nowhereElse = false);
+    void patienceOver(std::uint64_t id, Nanos now);
+    void finish(std::uint64_t id, End end, Nanos now);
+    void heard(Line& line, Heard&& heard);
+    void lineEnded(Line& line, net::ConnectionEnd end);
+    void detach(Command& command, std::optional<Nanos> took, Nanos now);
+    void agenda(std::uint64_t id, Command& command, Nanos due);
+    void check(Nanos now);
+    void sendWaiting(Caller& caller, std::size_t target, Nanos now);
+    Line* lineFor(Caller& caller, std::size_t target);
+    void wake();
+    void soon();
+
+    net::Loop& loop_;
+    const Habits habits_;
+    const PlanTerms terms_;
+    const int worker_, workers_;
+    Tally& tally_;
+    Progress& progress_;
+    const Clocks clocks_;
+    Watcher* const watcher_;
+    std::unique_ptr<Plan> plan_;
+    std::optional<Planned> next_;
+    Nanos start_{0}, nextCheck_{0}, nextSweep_{0}, armed_{0};
+    bool started_ = false, stopped_ = false, done_ = false;
+    std::vector<std::unique_ptr<Caller>> callers_;  // this worker's
+    Table open_;                                    // emptied by the ends of commands
+    std::set<std::pair<Nanos, std::uint64_t>>
+        agenda_;                               // one entry an open command: its patience or its next try
+    std::vector<std::unique_ptr<Line>> gone_;  // connections that ended; emptied each pump
+    std::function<void()> doneTold_;
+    Pace pace_;
+};
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/emulate/answering.h
@@ -0,0 +1,73 @@
+// A stand-in for a whole server: answers every command by itself, after a set time, and with the faults it is
+// told to have. It keeps its own book of what it received and sent when, by trace.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "intake/thrift.h"
+#include "lab/pace.h"
+#include "net/connection.h"
+
+namespace cottonwing::lab {
+
+struct AnsweringTerms {
+    Nanos takes{0};                      // from a command's arrival to its answer
+    Nanos stallAt{-1}, stallFor{0};      // from its start: nothing is read or sent meanwhile
+    int twiceEvery = 0;                  // every so many answers is given a second time
+    int toNothingEvery = 0;              // a further answer under a number that was never used
+    int resetEvery = 0;                  // the connection ends in the middle of an answer
+    int busyEvery = 0, failedEvery = 0;  // turned away, failed
+    int goawayEvery = 0;                 // commands of a connection, after which it says goaway
+    int wrongEvery = 0;                  // a result that no run made
+    bool silent = false;                 // reads, and never answers
+    bool deaf = false;                   // accepts, and never reads
+    bool keepsBook = false;
+};
+
+class Answering {
+public:
+    struct Entry {
+        Nanos received{0}, sent{0};
+    };
+    Answering(net::Loop& loop, const net::Address& at, AnsweringTerms terms);
+    ~Answering();
+    net::Address address() const { return {host_, listener_->port()}; }
+    const std::unordered_map<std::string, Entry>& book() const {
+        return book_;
+    }  // where it is kept; never emptied
+    std::uint64_t commands() const { return commands_; }
+    std::uint64_t forgets() const { return forgets_; }
+    std::size_t connections() const { return lines_.size(); }
+
+private:
+    struct Line;
+    struct Owed {
+        std::weak_ptr<Line> line;
+        std::int32_t sequence;
+        std::string trace;
+    };
+    void accept(uv_stream_t* listener);
+    void hear(Line& line, const intake::Message& message);
+    void answer(Line& line, std::int32_t sequence, const std::string& trace);
+    void pump();
+    bool stalled(Nanos now) const;
+    void end(Line& line);
+
+    net::Loop& loop_;
+    const AnsweringTerms terms_;
+    const std::string host_;
+    const Nanos start_;
+    std::list<std::shared_ptr<Line>> lines_;  // emptied by the ends of connections
+    std::multimap<Nanos, Owed> owed_;         // emptied by time
+    std::unordered_map<std::string, Entry> book_;
+    std::uint64_t commands_ = 0, answers_ = 0, forgets_ = 0;
+    Pace pace_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,571 @@
+#include "lab/experiment.h"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "lab/process.h"
+
+namespace cottonwing::lab {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+double secondsIn(Nanos time) { return std::chrono::duration<double>(time).count(); }
+std::int64_t micros(Nanos time) { return time / 1us; }
+
+auto wholeFrom(std::int64_t least, std::int64_t most) {
+    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
+}
+template <typename T, typename Read>
+void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
+    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
+}
+
+Trouble readTrouble(const kdl::Node& node, std::size_t backends) {
+    static const std::vector<std::pair<std::string, Trouble::Kind>> kKinds = {
+        {"records", Trouble::Kind::Records},      {"pool", Trouble::Kind::Pool},
+        {"stall", Trouble::Kind::Stall},          {"crash", Trouble::Kind::Crash},
+        {"link-break", Trouble::Kind::LinkBreak}, {"reload", Trouble::Kind::Reload},
+        {"release", Trouble::Kind::Release},      {"registry", Trouble::Kind::Registry}};
+    kdl::Fields in(node);
+    Trouble trouble;
+    const kdl::Value& kind = in.argument(0, "what the trouble is");
+    trouble.kind = kdl::Fields::choice(kind, kKinds);
+    trouble.text = kind.text;
+    for (const auto& [name, value] : node.properties)
+        if (name != "at") trouble.text += " " + name + "=" + value.text;
+    const kdl::Value* const at = in.property("at");
+    if (at == nullptr)
+        throw kdl::Problem(node.at, "a trouble was found without 'at='", "'at=10s' was expected");
+    trouble.at = kdl::duration(*at);
+    property(in, "for", trouble.lasts, kdl::duration);
+    property(in, "each", trouble.each, kdl::duration);
+    property(in, "slow", trouble.slow, kdl::number);
+    property(in, "hang", trouble.hang, kdl::share);
+    property(in, "spoil", trouble.spoil, kdl::share);
+    property(in, "share", trouble.share, kdl::share);
+    property(in, "down", trouble.down, kdl::truth);
+    property(in, "cold", trouble.cold, kdl::truth);
+    property(in, "silent", trouble.silent, kdl::truth);
+    if (const kdl::Value* const on = in.property("on"))
+        trouble.on = {static_cast<std::size_t>(kdl::whole(*on, 1, static_cast<std::int64_t>(backends))) - 1};
+    in.done();
+    return trouble;
+}
+
+}  // namespace
+
+std::unique_ptr<WorldTerms> readExperiment(const std::string& path) {
+    const auto document = kdl::readFile(path);
+    auto terms = std::make_unique<WorldTerms>();
+    const kdl::Node* experiment = nullptr;
+    for (const kdl::Node& node : document) {
+        if (node.name == "experiment" && experiment == nullptr)
+            experiment = &node;
+        else if (node.name != "load")
+            throw kdl::Problem(node.at, "'" + node.name + "' was found",
+                               "one 'experiment' and one 'load' were expected");
+    }
+    if (experiment == nullptr)
+        throw kdl::Problem({path, 1, 1}, "no 'experiment' was found", "'experiment NAME { … }' was expected");
+    kdl::Fields in(*experiment);
+    terms->name = kdl::text(in.argument(0, "the name of the experiment"));
+    if (terms->name.empty() ||
+        terms->name.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_") !=
+            std::string::npos)
+        throw kdl::Problem(experiment->at, "the name '" + terms->name + "' was found",
+                           "letters, digits, - and _ were expected");
+    terms->about = in.setting("about", kdl::text, std::string());
+    if (const kdl::Node* const found = in.child("backends")) {
+        kdl::Fields inner(*found);
+        terms->backends = static_cast<std::size_t>(kdl::whole(inner.argument(0, "how many"), 1, 200));
+        property(inner, "cores", terms->cores, kdl::number);
+        property(inner, "memory", terms->memoryMb,
+                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / (1 << 20); });
+        property(inner, "sockets", terms->sockets, wholeFrom(64, 1000000));
+        property(inner, "stop", terms->stop, kdl::duration);
+        property(inner, "grace", terms->grace, kdl::duration);
+        property(inner, "come-back", terms->longestComeBack, kdl::duration);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("pool")) {
+        kdl::Fields inner(*found);
+        PoolTerms& pool = terms->pool;
+        property(inner, "cores", pool.cores.cores, kdl::number);
+        property(inner, "speed", pool.cores.speed, kdl::number);
+        property(inner, "thrash-at", pool.cores.thrashAt, kdl::number);
+        property(inner, "thrash-to", pool.cores.thrashTo, kdl::share);
+        property(inner, "cold", pool.cores.coldPart, kdl::share);
+        property(inner, "warms-over", pool.cores.warmsOver, kdl::duration);
+        property(inner, "heap", pool.heapKb,
+                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / 1024; });
+        property(inner, "run-factor", terms->runFactor, kdl::number);
+        property(inner, "fall-multiple", pool.fallMultiple, kdl::number);
+        property(inner, "fall-over", pool.fallOver, kdl::duration);
+        property(inner, "starts-after", pool.startsAfter, kdl::duration);
+        property(inner, "pieces-every", pool.piecesEvery, wholeFrom(1, 1000000));
+        property(inner, "twice-every", pool.twiceEvery, wholeFrom(1, 1000000));
+        inner.done();
+        if (pool.cores.cores < 1 || pool.cores.speed <= 0 || pool.heapKb <= 0)
+            throw kdl::Problem(found->at, "a pool without cores, speed or heap was found",
+                               "a core, a speed and a heap above 0 were expected");
+    }
+    if (const kdl::Node* const found = in.child("records")) {
+        kdl::Fields inner(*found);
+        RecordsTerms& records = terms->records;
+        property(inner, "slots", records.slots, wholeFrom(1, 1000000));
+        property(inner, "line", records.line, wholeFrom(0, 1000000));
+        property(inner, "crowd-slows", records.crowdSlows, kdl::number);
+        property(inner, "falls-at", records.fallsAt, kdl::number);
+        property(inner, "down-for", records.downFor, kdl::duration);
+        property(inner, "share", records.share, kdl::number);
+        property(inner, "share-over", records.callsOver, kdl::duration);
+        property(inner, "linger", records.linger, kdl::duration);
+        inner.done();
+    }
+    for (const kdl::Node* node : in.children("trouble"))
+        terms->troubles.push_back(readTrouble(*node, terms->backends));
+    in.done();
+    std::vector<kdl::Node> loads;
+    for (const kdl::Node& node : document)
+        if (node.name == "load") loads.push_back(node);
+    terms->load = readLoad(loads, path, false);
+    terms->records.seed = terms->load->plan.seed;
+    return terms;
+}
+
+// ---- the world ------------------------------------------------------------------------------------------
+
+struct Experiment::Backend {
+    std::string name;
+    net::Address listen, pool, records, registry;
+    std::unique_ptr<WorkerPool> workers;
+    std::unique_ptr<Process> process;
+    bool expectedToEnd = false, crashed = false, releasing = false;
+    double cpuBefore = 0;
+    std::vector<Sample> samples;
+    double mostMemory = 0;
+    int crashes = 0;
+    Nanos startAgainAt{-1};
+    bool cold = false;
+};
+
+struct Experiment::World {
+    explicit World(const WorldTerms& terms)
+        : books(terms.load->plan.profiles, 60s, terms.pool.heapKb, terms.runFactor) {}
+    net::Loop loop;
+    Books books;
+    std::vector<Backend> backends;
+    std::unique_ptr<RecordsService> records;
+    std::unique_ptr<RegistryService> registry;
+    std::vector<std::string> notes;  // what the world saw that no figure tells: a crash, a slow end
+    std::vector<std::size_t> toRelease;
+    Nanos nextRelease{0}, releaseEach{0};
+};
+
+Experiment::Experiment(const WorldTerms& terms, std::string build, std::string folder)
+    : terms_(terms),
+      build_(std::move(build)),
+      folder_(std::move(folder)),
+      world_(std::make_unique<World>(terms)) {
+    if (access(build_.c_str(), X_OK) != 0)
+        throw std::runtime_error("there is no program to start at " + build_);
+    std::error_code error;
+    std::filesystem::create_directories(folder_, error);
+    if (error) throw std::runtime_error(folder_ + " can't be made: " + error.message());
+    // A block of loopback addresses of this process's own, with fixed ports: a backend that starts again has
+    // the same, and nothing has to be guessed free.
+    const int mine = getpid();
+    const std::string block =
+        "127." + std::to_string(64 + mine % 128) + "." + std::to_string(mine / 128 % 250) + ".";
+    std::vector<net::Address> records;
+    world_->loop.onTrouble(
+        [this](const std::string& what) { world_->notes.push_back("trouble in the laboratory: " + what); });
+    for (std::size_t at = 0; at < terms.backends; ++at) {
+        Backend backend;
+        backend.name = "n" + std::to_string(at + 1);
+        const std::string host = block + std::to_string(at + 1);
+        backend.listen = {host, 8080}, backend.pool = {host, 6100}, backend.records = {host, 9042};
+        backend.registry = {block + "254", 7946};
+        records.push_back(backend.records);
+        world_->backends.push_back(std::move(backend));
+    }
+    world_->registry = std::make_unique<RegistryService>(world_->loop, world_->backends[0].registry);
+    world_->records = std::make_unique<RecordsService>(world_->loop, records, terms.records, world_->books);
+    for (std::size_t at = 0; at < terms.backends; ++at) {
+        world_->backends[at].workers = std::make_unique<WorkerPool>(
+            world_->loop, at, world_->backends[at].pool, terms.pool, world_->books);
+        startBackend(at);
+    }
+}
+
+Experiment::~Experiment() = default;
+
+nlohmann::json Experiment::configOf(std::size_t at) const {
+    const Backend& backend = world_->backends[at];
+    const auto text = [](const net::Address& address) {
+        return address.host + ":" + std::to_string(address.port);
+    };
+    const PlanTerms& plan = terms_.load->plan;
+    Json settings, classes = Json::array(), calls = Json::array(), poorer = Json::array(),
+                   tenants = Json::array();
+    bool any = false;
+    for (const Profile& profile : plan.profiles) {
+        static constexpr const char* kRepeats[] = {"free", "guarded", "single_shot"};
+        classes.push_back({{"name", profile.name},
+                           {"repeat", kRepeats[static_cast<int>(profile.repeat)]},
+                           {"aim_us", micros(profile.promised)},
+                           {"deadline_us", micros(profile.hardStop)},
+                           {"worth", profile.worth},
+                           {"late_value", profile.lateShare},
+                           {"window_us", micros(profile.hardStop)}});
+        calls.push_back(profile.calls > 0);
+        poorer.push_back(0);
+        any = any || profile.calls > 0;
+    }
+    const double rate = 1e6;  // no customer is held to a quota here
+    for (std::uint64_t customer = 0; customer < plan.customers; ++customer)
+        tenants.push_back({{"name", customerName(customer)}, {"quota_per_s", rate}});
+    settings["classes"] = classes;
+    settings["tenants"] = tenants;
+    settings["goal"] = {{"whole", 1.0}, {"worst_class", 0.0}};
+    settings["peers_total"] = terms_.backends;
+    settings["permissions"] = {{"retry_after", terms_.comeBack},
+                               {"max_retry_after_us", micros(terms_.longestComeBack)}};
+    settings["obligations"] = {{"drain_grace_us", micros(terms_.grace)},
+                               {"fall_multiple", terms_.pool.fallMultiple},
+                               {"overload_for_us", micros(terms_.pool.fallOver)},
+                               {"start_capacity", terms_.pool.cores.coldPart},
+                               {"ramp_time_us", micros(terms_.pool.cores.warmsOver)}};
+    settings["family_info"] = {{"below", any ? "shared" : "off"},
+                               {"calls_over_us", micros(terms_.records.callsOver)},
+                               {"class_calls", calls},
+                               {"degraded_worth", poorer},
+                               {"cores", static_cast<int>(terms_.pool.cores.cores)},
+                               {"dep_share", terms_.records.share},
+                               {"halt", "suspend"},
+                               {"heap_kb", terms_.pool.heapKb},
+                               {"idle_us", micros(terms_.load->habits.closesIdle)},
+                               {"linger_us", micros(terms_.records.linger)},
+                               {"own_stats", {"core_use", "on_cores", "heap_share", "links"}},
+                               {"readiness", true},
+                               {"run_factor", terms_.runFactor},
+                               {"senders", terms_.load->habits.callers},
+                               {"signal", "share_of"}};
+    char seed[20];
+    std::snprintf(seed, sizeof seed, "%016llx",
+                  static_cast<unsigned long long>(decide::spread(
+                      plan.seed * 1000 + at + 1000000 * static_cast<std::uint64_t>(backend.crashes))));
+    return {
+        {"name", backend.name},
+        {"listen", text(backend.listen)},
+        {"pool", text(backend.pool)},
+        {"registry", text(backend.registry)},
+        {"records", text(backend.records)},
+        {"seed", seed},
+        {"stop_ms", terms_.stop / 1ms},
+        {"limits", {{"cores", terms_.cores}, {"memory_mb", terms_.memoryMb}, {"sockets", terms_.sockets}}},
+        {"settings", settings}};
+}
+
+void Experiment::startBackend(std::size_t at) {
+    Backend& backend = world_->backends[at];
+    const std::string config = folder_ + "/" + backend.name + ".json";
+    std::ofstream out(config);
+    out << configOf(at).dump(1) << "\n";
+    out.close();
+    if (!out) throw std::runtime_error(config + " can't be written");
+    backend.expectedToEnd = backend.crashed = false;
+    backend.cpuBefore = 0;
+    world_->books.restarted(at);
+    backend.process = std::make_unique<Process>(
+        world_->loop, build_,
+        std::map<std::string, std::string>{
+            {"GW_NAME", backend.name},
+            {"GW_LISTEN", backend.listen.host + ":" + std::to_string(backend.listen.port)},
+            {"GW_CONFIG", config}},
+        folder_ + "/" + backend.name + ".log", [this, at](int code, int signal) {
+            Backend& ended = world_->backends[at];
+            if (ended.expectedToEnd && !ended.releasing) return;
+            if (ended.releasing && code == 0 && signal == 0) return;
+            ++ended.crashes;
+            ended.crashed = true;
+            world_->notes.push_back(
+                ended.name + " ended by itself, " +
+                (signal != 0 ? "signal " + std::to_string(signal) : "code " + std::to_string(code)));
+        });
+}
+
+std::vector<std::size_t> Experiment::meant(const Trouble& trouble) const {
+    if (!trouble.on.empty()) return trouble.on;
+    std::vector<std::size_t> all(terms_.backends);
+    for (std::size_t at = 0; at < all.size(); ++at) all[at] = at;
+    if (trouble.share < 1)
+        all.resize(std::max<std::size_t>(
+            1, static_cast<std::size_t>(std::lround(trouble.share * static_cast<double>(all.size())))));
+    return all;
+}
+
+void Experiment::play(const Trouble& trouble, bool begins) {
+    World& world = *world_;
+    switch (trouble.kind) {
+        case Trouble::Kind::Records:
+            world.records->slow(begins ? trouble.slow : 1);
+            world.records->hang(begins ? trouble.hang : 0);
+            world.records->spoil(begins ? trouble.spoil : 0);
+            if (trouble.down) world.records->down(begins);
+            break;
+        case Trouble::Kind::Registry:
+            world.registry->silent(begins && trouble.silent);
+            break;
+        case Trouble::Kind::Pool:
+            for (const std::size_t at : meant(trouble))
+                world.backends[at].workers->slow(begins ? trouble.slow : 1);
+            break;
+        case Trouble::Kind::Stall:
+            for (const std::size_t at : meant(trouble))
+                world.backends[at].process->signal(begins ? SIGSTOP : SIGCONT);
+            break;
+        case Trouble::Kind::LinkBreak:
+            if (begins)
+                for (const std::size_t at : meant(trouble)) world.backends[at].workers->breakLink();
+            break;
+        case Trouble::Kind::Reload:
+            if (begins)
+                for (const std::size_t at : meant(trouble)) world.backends[at].process->signal(SIGHUP);
+            break;
+        case Trouble::Kind::Crash:
+            for (const std::size_t at : meant(trouble)) {
+                Backend& backend = world.backends[at];
+                if (begins) {
+                    backend.expectedToEnd = true;
+                    backend.process->signal(SIGKILL);
+                    backend.workers->crash();
+                } else {
+                    backend.workers->comeBack(trouble.cold);
+                    startBackend(at);
+                }
+            }
+            break;
+        case Trouble::Kind::Release:
+            if (!begins) break;
+            world.toRelease = meant(trouble);
+            world.releaseEach = trouble.each > 0ns ? trouble.each : terms_.stop + 1s;
+            world.nextRelease = steadyNow();
+            break;
+    }
+}
+
+void Experiment::sample(double at) {
+    for (Backend& backend : world_->backends) {
+        Sample sample;
+        sample.at = at;
+        sample.there = backend.process->there();
+        const double cpu = backend.process->cpuSeconds();
+        sample.cpu = std::max(0.0, cpu - backend.cpuBefore);
+        backend.cpuBefore = cpu;
+        sample.memoryMb = backend.process->memoryMb();
+        backend.mostMemory = std::max(backend.mostMemory, sample.memoryMb);
+        sample.onCores = static_cast<double>(backend.workers->onCores());
+        sample.inHand = static_cast<double>(backend.workers->inHand());
+        backend.samples.push_back(sample);
+    }
+}
+
+ExperimentResult Experiment::run(const std::function<void(double, const Load&)>& progress,
+                                 const bool* interrupted) {
+    World& world = *world_;
+    // Up: each has bound its pool. What the first health checks see then is a working fleet.
+    const auto turnUntil = [&](const std::function<bool()>& so, Nanos limit) {
+        bool late = false, look = false;
+        net::Timer watch(world.loop, [&] { late = true; });
+        watch.start(limit);
+        net::Timer tick(world.loop, [&] { look = true; });
+        while (!so() && !late) {
+            tick.start(10ms);
+            world.loop.turnOnce();
+        }
+        return !late;
+    };
+    const bool up = turnUntil(
+        [&] {
+            return std::all_of(world.backends.begin(), world.backends.end(), [](const Backend& backend) {
+                return backend.workers->bound() || !backend.process->there();
+            });
+        },
+        20s);
+    for (const Backend& backend : world.backends)
+        if (!up || !backend.process->there() || !backend.workers->bound())
+            throw std::runtime_error(backend.name + " did not come up; its words are in " + folder_ + "/" +
+                                     backend.name + ".log");
+    turnUntil([] { return false; }, 300ms);
+
+    for (const Backend& backend : world.backends) terms_.load->habits.targets.push_back(backend.listen);
+    std::vector<Watcher*> watchers = {&world.books};
+    Load load(*terms_.load, watchers);
+    const Nanos start = steadyNow() + 100ms;
+    load.start(start);
+
+    struct Step {
+        Nanos at;
+        const Trouble* trouble;
+        bool begins;
+    };
+    std::vector<Step> steps;
+    for (const Trouble& trouble : terms_.troubles) {
+        steps.push_back({trouble.at, &trouble, true});
+        if (trouble.lasts > 0ns) steps.push_back({trouble.at + trouble.lasts, &trouble, false});
+    }
+    std::stable_sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+    std::size_t nextStep = 0;
+    Nanos nextSample = start;
+    bool told = false, cut = false;
+    std::unique_ptr<Pace> pace;
+    const auto look = [&] {
+        const Nanos now = steadyNow();
+        while (nextStep < steps.size() && now >= start + steps[nextStep].at) {
+            play(*steps[nextStep].trouble, steps[nextStep].begins);
+            ++nextStep;
+        }
+        if (!world.toRelease.empty() && now >= world.nextRelease) {
+            const std::size_t at = world.toRelease.front();
+            Backend& backend = world.backends[at];
+            if (!backend.releasing) {
+                backend.releasing = true;
+                backend.startAgainAt = now + terms_.stop;
+                world.books.notice(at, now, std::min(terms_.grace, terms_.stop / 2));
+                backend.process->signal(SIGTERM);
+            } else if (!backend.process->there() || now >= backend.startAgainAt) {
+                if (backend.process->there()) {
+                    world.notes.push_back(backend.name + " was there still at its stop and was killed");
+                    world.books.fellOver(at, "it did not leave before its stop");
+                    backend.expectedToEnd = true;
+                    backend.process->signal(SIGKILL);
+                }
+                backend.workers->crash();
+                backend.workers->comeBack(true);
+                backend.releasing = false;
+                startBackend(at);
+                world.toRelease.erase(world.toRelease.begin());
+                world.nextRelease = now + world.releaseEach;
+            }
+        }
+        if (now >= nextSample) {
+            sample(secondsIn(now - start));
+            nextSample += 1s;
+        }
+        if (progress) progress(std::max(0.0, secondsIn(now - start)), load);
+        if (interrupted != nullptr && *interrupted && !std::exchange(told, true)) load.stop();
+        // What hangs past every hard stop is cut off, and told as what it is.
+        Nanos longest{0};
+        for (const Profile& profile : terms_.load->plan.profiles)
+            longest = std::max(longest, profile.hardStop);
+        if (now > start + terms_.load->plan.length + longest + 5s && !std::exchange(cut, true)) load.cut();
+        if (!load.done()) pace->ringAt(now + (progress ? 100ms : 20ms));
+    };
+    pace = std::make_unique<Pace>(world.loop, look);
+    pace->ringAt(start);
+    turnUntil([&] { return load.done(); }, 24h);
+    pace.reset();
+    sample(secondsIn(steadyNow() - start));
+    LoadResult result = load.finish();
+    ExperimentResult done;
+    done.figures = judged(result);
+    done.earnedShare = done.figures["load"]["earned_share"];
+    done.broken = done.figures["broken"]["all"];
+    done.valid = result.valid;
+
+    // The fleet leaves as it does on any notice.
+    for (Backend& backend : world.backends) {
+        backend.expectedToEnd = true;
+        backend.process->signal(SIGCONT);
+        backend.process->signal(SIGTERM);
+    }
+    const bool left = turnUntil(
+        [&] {
+            return std::none_of(world.backends.begin(), world.backends.end(),
+                                [](const Backend& b) { return b.process->there(); });
+        },
+        terms_.stop);
+    if (!left) done.figures["notes"].push_back("a backend did not leave before its stop at the end");
+    return done;
+}
+
+nlohmann::json Experiment::judged(LoadResult& result) {
+    World& world = *world_;
+    Json all;
+    all["name"] = terms_.name;
+    all["about"] = terms_.about;
+    all["build"] = build_;
+    all["load"] = jsonOf(result, *terms_.load);
+    const auto counts = world.books.counts();
+    std::uint64_t sum = result.tally.broken.all();
+    Json broken;
+    for (std::size_t rule = 0; rule < kRules; ++rule) {
+        broken[nameOf(static_cast<Rule>(rule))] = counts[rule];
+        sum += counts[rule];
+    }
+    broken["lost"] = counts[static_cast<std::size_t>(Rule::Lost)] + result.tally.broken.lost;
+    broken["answers"] = result.tally.broken.all() - result.tally.broken.lost;
+    int crashes = 0;
+    for (const Backend& backend : world.backends) crashes += backend.crashes;
+    broken["crashes"] = crashes;
+    broken["all"] = sum + static_cast<std::uint64_t>(crashes);
+    broken["examples"] = Json::array();
+    for (const Breach& breach : world.books.breaches())
+        broken["examples"].push_back(std::string(nameOf(breach.rule)) + ": " + breach.what);
+    for (const std::string& example : result.tally.broken.examples) broken["examples"].push_back(example);
+    all["broken"] = broken;
+    double work = 0;
+    all["backends"] = Json::array();
+    for (const Backend& backend : world.backends) {
+        work += backend.workers->workDone();
+        Json samples = Json::array();
+        double cpu = 0, dearest = 0;
+        for (const Sample& sample : backend.samples) {
+            samples.push_back({{"at_s", sample.at},
+                               {"memory_mb", sample.memoryMb},
+                               {"cpu_s", sample.cpu},
+                               {"on_cores", sample.onCores},
+                               {"runs", sample.inHand},
+                               {"there", sample.there}});
+            cpu += sample.cpu;
+            dearest = std::max(dearest, sample.cpu);
+        }
+        all["backends"].push_back({{"name", backend.name},
+                                   {"memory_most_mb", backend.mostMemory},
+                                   {"cpu_s", cpu},
+                                   {"cpu_dearest_second", dearest},
+                                   {"runs_started", backend.workers->spawns()},
+                                   {"samples", samples}});
+    }
+    const double handled = world.books.handledWork();
+    all["work"] = {{"done_core_s", work},
+                   {"handled_core_s", handled},
+                   {"wasted_share", work > 0 ? std::max(0.0, 1 - handled / work) : 0}};
+    double mostShare = 0;
+    for (std::size_t at = 0; at < terms_.backends; ++at)
+        mostShare = std::max(mostShare, world.records->mostMeanOf(at));
+    all["records"] = {{"calls", world.records->calls()},
+                      {"turned_away", world.records->turnedAway()},
+                      {"fallen", world.records->fallen()},
+                      {"share", terms_.records.share},
+                      {"most_mean_in_hands", mostShare}};
+    all["registry_reports"] = world.registry->reports();
+    all["troubles"] = Json::array();
+    for (const Trouble& trouble : terms_.troubles)
+        all["troubles"].push_back(
+            {{"at_s", secondsIn(trouble.at)}, {"for_s", secondsIn(trouble.lasts)}, {"text", trouble.text}});
+    all["notes"] = world.notes;
+    return all;
+}
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/experiment.h
@@ -0,0 +1,92 @@
+// An experiment: backends of a build, the emulated world around them, load, and a timeline of troubles; what
+// came of it, judged.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/emulate/services.h"
+#include "lab/emulate/worker_pool.h"
+#include "lab/load.h"
+
+namespace cottonwing::lab {
+
+struct Trouble {
+    enum class Kind {
+        Records,
+        Pool,
+        Stall,
+        Crash,
+        LinkBreak,
+        Reload,
+        Release,
+        Registry
+    } kind = Kind::Records;
+    Nanos at{0}, lasts{0}, each{0};  // each: between two instances, of a release
+    double slow = 1, hang = 0, spoil = 0, share = 1;
+    bool down = false, cold = true, silent = false;
+    std::vector<std::size_t> on;  // instances; all where it is empty
+    std::string text;             // as it stands in the file, for reports
+};
+
+struct WorldTerms {
+    std::string name = "experiment", about;
+    std::size_t backends = 1;
+    double cores = 1, memoryMb = 192, sockets = 1024;  // limits of the program
+    Nanos stop{std::chrono::milliseconds(3200)}, grace{std::chrono::milliseconds(800)};
+    bool comeBack = true;
+    Nanos longestComeBack{std::chrono::seconds(1)};
+    PoolTerms pool;
+    RecordsTerms records;
+    double runFactor = 4;
+    std::vector<Trouble> troubles;
+    std::unique_ptr<LoadTerms> load;
+};
+
+// Throws kdl::Problem.
+std::unique_ptr<WorldTerms> readExperiment(const std::string& path);
+
+struct Sample {
+    double at = 0;  // seconds from the start of the load
+    double memoryMb = 0, cpu = 0;
+    double onCores = 0, inHand = 0;
+    bool there = false;
+};
+
+struct ExperimentResult {
+    nlohmann::json figures;
+    double earnedShare = 0;
+    std::uint64_t broken = 0;
+    bool valid = true;
+};
+
+class Experiment {
+public:
+    // build: the program; folder: where its logs and files go, made where it is not there. Throws
+    // std::runtime_error where a backend can't be started or does not come up.
+    Experiment(const WorldTerms& terms, std::string build, std::string folder);
+    ~Experiment();
+    // progress: seconds from the start, the load, called ten times a second.
+    ExperimentResult run(const std::function<void(double, const Load&)>& progress = {},
+                         const bool* interrupted = nullptr);
+
+private:
+    struct Backend;
+    struct World;
+    nlohmann::json configOf(std::size_t at) const;
+    void play(const Trouble& trouble, bool begins);
+    void startBackend(std::size_t at);
+    void sample(double at);
+    nlohmann::json judged(LoadResult& result);
+    std::vector<std::size_t> meant(const Trouble& trouble) const;
+
+    const WorldTerms& terms_;
+    const std::string build_, folder_;
+    std::unique_ptr<World> world_;
+};
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/load.cpp
@@ -0,0 +1,540 @@
+#include "lab/load.h"
+
+#include <algorithm>
+#include <charconv>
+#include <future>
+#include <nlohmann/json.hpp>
+
+namespace cottonwing::lab {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+net::Address addressOf(const kdl::Value& value) {
+    const std::string& text = kdl::text(value);
+    const std::size_t colon = text.rfind(':');
+    net::Address address{text.substr(0, colon), 0};
+    sockaddr_in parsed{};
+    const char* const last = text.data() + text.size();
+    if (colon != text.npos) {
+        const auto [end, error] = std::from_chars(text.data() + colon + 1, last, address.port);
+        if (error == std::errc() && end == last && address.port > 0 && address.port < 65536 &&
+            uv_ip4_addr(address.host.c_str(), address.port, &parsed) == 0)
+            return address;
+    }
+    throw kdl::Problem(value.at, "'" + text + "' was found",
+                       "an address such as \"127.0.0.1:8080\" was expected");
+}
+
+const std::vector<std::pair<std::string, Repeat>> kRepeats = {
+    {"repeatable", Repeat::Repeatable}, {"tagged", Repeat::Tagged}, {"once-only", Repeat::OnceOnly}};
+
+Profile readProfile(const kdl::Node& node) {
+    kdl::Fields in(node);
+    Profile profile;
+    profile.name = kdl::text(in.argument(0, "the name of a profile"));
+    const auto distribution = [&](const char* name, Distribution& to, double (*reads)(const kdl::Value&)) {
+        const kdl::Node* const found = in.child(name);
+        if (found == nullptr) return;
+        kdl::Fields inner(*found);
+        to = Distribution::of(inner, reads);
+        inner.done();
+    };
+    profile.share = in.setting("share", kdl::share, profile.share);
+    profile.worth = in.setting("worth", kdl::number, profile.worth);
+    profile.lateShare = in.setting("late-share", kdl::share, profile.lateShare);
+    profile.promised = in.setting("promised", kdl::duration, profile.promised);
+    profile.hardStop = in.setting("hard-stop", kdl::duration, profile.hardStop);
+    if (const kdl::Node* const found = in.child("repeat")) {
+        kdl::Fields inner(*found);
+        profile.repeat = kdl::Fields::choice(inner.argument(0, "repeatable, tagged or once-only"), kRepeats);
+        inner.done();
+    }
+    profile.calls = in.setting(
+        "calls", [](const kdl::Value& value) { return kdl::whole(value, 0, 100); }, profile.calls);
+    profile.hintError = in.setting("hint-error", kdl::share, profile.hintError);
+    profile.failing = in.setting("failing", kdl::share, profile.failing);
+    profile.claims = in.setting("claims", kdl::text, profile.claims);
+    distribution("work", profile.work, secondsOf);
+    distribution("call", profile.call, secondsOf);
+    distribution("body", profile.body, bytesOf);
+    distribution("held", profile.held, bytesOf);
+    distribution("patience", profile.patience, secondsOf);
+    in.done();
+    if (profile.promised <= 0ns || profile.hardStop < profile.promised)
+        throw kdl::Problem(
+            node.at, "profile '" + profile.name + "' was found with a hard stop before its promised time",
+            "promised above 0 and hard-stop not below it were expected");
+    return profile;
+}
+
+template <typename T, typename Read>
+void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
+    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
+}
+
+auto wholeFrom(std::int64_t least, std::int64_t most) {
+    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
+}
+
+void readCallers(const kdl::Node& node, Habits& habits, bool targets) {
+    kdl::Fields in(node);
+    habits.callers = static_cast<int>(kdl::whole(in.argument(0, "how many callers there are"), 1, 100000));
+    if (targets) {
+        if (const kdl::Node* const to = in.child("to")) {
+            kdl::Fields inner(*to);
+            for (const kdl::Value* value : inner.rest(0)) habits.targets.push_back(addressOf(*value));
+            inner.done();
+        }
+        if (habits.targets.empty())
+            throw kdl::Problem(node.at, "'callers' was found without a server",
+                               "'to \"127.0.0.1:8080\"' was expected in it");
+    }
+    if (const kdl::Node* const choose = in.child("choose")) {
+        kdl::Fields inner(*choose);
+        habits.way = kdl::Fields::choice<decide::Way>(inner.argument(0, "a way to choose"),
+                                                      {{"round-robin", decide::Way::RoundRobin},
+                                                       {"least", decide::Way::Least},
+                                                       {"two-choices", decide::Way::TwoChoices},
+                                                       {"by-subject", decide::Way::BySubject},
+                                                       {"fastest", decide::Way::Fastest}});
+        inner.done();
+    }
+    if (const kdl::Node* const attempts = in.child("attempts")) {
+        kdl::Fields inner(*attempts);
+        decide::AttemptTerms& terms = habits.attempts;
+        terms.most =
+            static_cast<int>(kdl::whole(inner.argument(0, "how many attempts there are in all"), 1, 6));
+        property(inner, "growth", terms.growth, [](const kdl::Value& value) {
+            return kdl::Fields::choice<decide::Growth>(
+                value, {{"fixed", decide::Growth::Fixed}, {"exponential", decide::Growth::Exponential}});
+        });
+        property(inner, "jitter", terms.jitter, [](const kdl::Value& value) {
+            return kdl::Fields::choice<decide::Jitter>(value,
+                                                       {{"none", decide::Jitter::None},
+                                                        {"equal", decide::Jitter::Equal},
+                                                        {"full", decide::Jitter::Full},
+                                                        {"decorrelated", decide::Jitter::Decorrelated}});
+        });
+        property(inner, "least", terms.least, kdl::duration);
+        property(inner, "longest", terms.longest, kdl::duration);
+        property(inner, "budget", terms.budgeted, kdl::truth);
+        property(inner, "tokens", terms.tokens, kdl::number);
+        property(inner, "per-good", terms.perGood, kdl::number);
+        property(inner, "above", terms.above, kdl::share);
+        inner.done();
+    }
+    if (const kdl::Node* const connections = in.child("connections")) {
+        kdl::Fields inner(*connections);
+        habits.connections =
+            static_cast<int>(kdl::whole(inner.argument(0, "how many to one server"), 1, 10000));
+        property(inner, "open", habits.openEach, wholeFrom(1, 32));
+        property(inner, "idle", habits.closesIdle, kdl::duration);
+        property(inner, "within", habits.connectsWithin, kdl::duration);
+        inner.done();
+    }
+    if (const kdl::Node* const checks = in.child("checks")) {
+        kdl::Fields inner(*checks);
+        habits.checksEvery = kdl::duration(inner.argument(0, "how often, such as 1s"));
+        property(inner, "thorough", habits.thorough, kdl::truth);
+        inner.done();
+    }
+    if (const kdl::Node* const honours = in.child("honours")) {
+        kdl::Fields inner(*honours);
+        property(inner, "come-back", habits.attempts.honoursComeBack, kdl::truth);
+        property(inner, "advice", habits.honoursAdvice, kdl::truth);
+        inner.done();
+    }
+    habits.forgets = in.setting("forgets", kdl::truth, habits.forgets);
+    habits.checksResults = in.setting("check-results", kdl::truth, habits.checksResults);
+    habits.openMost = static_cast<std::size_t>(
+        in.setting("open-at-most", wholeFrom(1, 10000000), static_cast<std::int64_t>(habits.openMost)));
+    habits.closed = static_cast<int>(in.setting("closed", wholeFrom(1, 1000000), std::int64_t{0}));
+    in.done();
+}
+
+}  // namespace
+
+std::unique_ptr<LoadTerms> readLoad(const std::vector<kdl::Node>& document, const std::string& file,
+                                    bool targets) {
+    auto terms = std::make_unique<LoadTerms>();
+    terms->document = document;
+    const kdl::Node* load = nullptr;
+    for (const kdl::Node& node : terms->document)
+        if (node.name == "load") {
+            if (load != nullptr) throw kdl::Problem(node.at, "a second 'load' was found", "one was expected");
+            load = &node;
+        }
+    if (load == nullptr) throw kdl::Problem({file, 1, 1}, "no 'load' was found", "'load { … }' was expected");
+    kdl::Fields in(*load);
+    PlanTerms& plan = terms->plan;
+    plan.seed =
+        static_cast<std::uint64_t>(in.setting("seed", wholeFrom(0, std::int64_t{1} << 53), std::int64_t{1}));
+    plan.length = in.setting("length", kdl::duration, plan.length);
+    terms->workers = static_cast<int>(in.setting("workers", wholeFrom(1, 64), std::int64_t{1}));
+    if (const kdl::Node* const found = in.child("customers")) {
+        kdl::Fields inner(*found);
+        plan.customers = static_cast<std::uint64_t>(kdl::whole(inner.argument(0, "how many"), 1, 1000000));
+        property(inner, "skew", plan.customerSkew, kdl::number);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("subjects")) {
+        kdl::Fields inner(*found);
+        plan.subjects =
+            static_cast<std::uint64_t>(kdl::whole(inner.argument(0, "how many"), 1, std::int64_t{1} << 40));
+        property(inner, "skew", plan.subjectSkew, kdl::number);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("arrivals")) {
+        kdl::Fields inner(*found);
+        plan.spacing = kdl::Fields::choice<Spacing>(inner.argument(0, "poisson or even"),
+                                                    {{"poisson", Spacing::Poisson}, {"even", Spacing::Even}});
+        inner.done();
+    }
+    for (const kdl::Node* profile : in.children("profile")) {
+        plan.profiles.push_back(readProfile(*profile));
+        for (std::size_t at = 0; at + 1 < plan.profiles.size(); ++at)
+            if (plan.profiles[at].name == plan.profiles.back().name)
+                throw kdl::Problem(profile->at,
+                                   "a second profile '" + plan.profiles.back().name + "' was found",
+                                   "a name of its own was expected");
+    }
+    if (plan.profiles.empty())
+        throw kdl::Problem(load->at, "'load' was found without a profile",
+                           "'profile NAME { … }' was expected in it");
+    for (const Profile& profile : plan.profiles)
+        if (!profile.claims.empty() &&
+            std::none_of(plan.profiles.begin(), plan.profiles.end(),
+                         [&](const Profile& other) { return other.name == profile.claims; }))
+            throw kdl::Problem(load->at,
+                               "profile '" + profile.name + "' claims to be '" + profile.claims + "'",
+                               "the name of another profile was expected");
+    plan.rate = in.child("rate");
+    if (const kdl::Node* const found = in.child("trace")) {
+        kdl::Fields inner(*found);
+        TraceTerms trace;
+        trace.file = kdl::text(inner.argument(0, "the path of a trace"));
+        // Beside the file that names it.
+        if (!trace.file.empty() && trace.file.front() != '/')
+            if (const std::size_t slash = file.rfind('/'); slash != file.npos)
+                trace.file = file.substr(0, slash + 1) + trace.file;
+        property(inner, "stretch", trace.stretch, kdl::share);
+        property(inner, "keep", trace.keep, kdl::share);
+        property(inner, "copies", trace.copies, kdl::share);
+        property(inner, "from", trace.from, kdl::duration);
+        property(inner, "until", trace.until, kdl::duration);
+        property(inner, "skip-bad", trace.skipBad, kdl::truth);
+        inner.done();
+        plan.trace = trace;
+    }
+    if ((plan.rate == nullptr) == !plan.trace)
+        throw kdl::Problem(load->at,
+                           plan.rate == nullptr ? "'load' was found without a rate"
+                                                : "'load' was found with a rate and a trace",
+                           "one of 'rate { … }' and 'trace FILE' was expected in it");
+    if (plan.rate != nullptr) {
+        kdl::Fields inner(*plan.rate);  // said now, not when the run begins
+        (void)Shape::of(inner, plan.seed);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("callers"))
+        readCallers(*found, terms->habits, targets);
+    else if (targets)
+        throw kdl::Problem(load->at, "'load' was found without callers",
+                           "'callers 8 { to \"127.0.0.1:8080\" }' was expected in it");
+    if (const kdl::Node* const found = in.child("send-within")) {
+        kdl::Fields inner(*found);
+        terms->sendWithin = kdl::duration(inner.argument(0, "a duration such as 1ms"));
+        property(inner, "share", terms->sendShare, kdl::share);
+        inner.done();
+    }
+    in.done();
+    return terms;
+}
+
+// ---- the run --------------------------------------------------------------------------------------------
+
+struct Load::Worker {
+    Worker(const LoadTerms& terms, int number, const Clocks& clocks, Watcher* watcher)
+        : tally(terms.plan.profiles), clocks(clocks), watcher(watcher), number(number) {}
+
+    void run(const LoadTerms& terms, Nanos at, std::promise<void>& ready) {
+        try {
+            net::Loop loop;
+            Callers callers(loop, terms.habits, terms.plan, number, terms.workers, tally, progress, clocks,
+                            watcher);
+            Bell bell(loop, [&] {
+                if (cut)
+                    callers.cut();
+                else if (stop)
+                    callers.stop();
+            });
+            loop.onTrouble([&](const std::string& what) {
+                trouble = what;
+                callers.cut();
+            });
+            {
+                const std::lock_guard hold(guard);
+                theBell = &bell;
+            }
+            ready.set_value();
+            callers.onDone([&] { loop.stop(); });
+            callers.start(at);
+            if (!callers.done()) loop.run();
+            const std::lock_guard hold(guard);
+            theBell = nullptr;
+        } catch (const std::exception& error) {
+            trouble = error.what();
+            try {
+                ready.set_value();
+            } catch (const std::future_error&) {
+            }
+        }
+        progress.done = true;
+    }
+    void say(std::atomic<bool>& what) {
+        what = true;
+        const std::lock_guard hold(guard);
+        if (theBell != nullptr) theBell->ring();
+    }
+
+    Tally tally;
+    Progress progress;
+    const Clocks clocks;
+    Watcher* const watcher;
+    const int number;
+    std::atomic<bool> stop{false}, cut{false};
+    std::mutex guard;
+    Bell* theBell = nullptr;
+    std::string trouble;  // read once the thread has ended
+    std::thread thread;
+};
+
+Load::Load(const LoadTerms& terms, std::vector<Watcher*> watchers, Clocks clocks) : terms_(terms) {
+    for (int number = 0; number < terms.workers; ++number)
+        workers_.push_back(std::make_unique<Worker>(
+            terms, number, clocks,
+            watchers.empty() ? nullptr : watchers[static_cast<std::size_t>(number) % watchers.size()]));
+}
+
+Load::~Load() {
+    if (!workers_.empty() && workers_.front()->thread.joinable()) {
+        cut();
+        for (auto& worker : workers_) worker->thread.join();
+    }
+}
+
+void Load::start(Nanos at) {
+    startedAt_ = at;
+    for (auto& worker : workers_) {
+        std::promise<void> ready;
+        auto isReady = ready.get_future();
+        worker->thread = std::thread([this, &worker, at, &ready] { worker->run(terms_, at, ready); });
+        isReady.wait();
+    }
+}
+
+void Load::stop() {
+    stopped_ = true;
+    for (auto& worker : workers_) worker->say(worker->stop);
+}
+void Load::cut() {
+    stopped_ = true;
+    for (auto& worker : workers_) worker->say(worker->cut);
+}
+bool Load::done() const {
+    return std::all_of(workers_.begin(), workers_.end(),
+                       [](const auto& worker) { return worker->progress.done.load(); });
+}
+std::uint64_t Load::planned() const {
+    std::uint64_t sum = 0;
+    for (const auto& worker : workers_) sum += worker->progress.planned;
+    return sum;
+}
+std::uint64_t Load::ended() const {
+    std::uint64_t sum = 0;
+    for (const auto& worker : workers_) sum += worker->progress.ended;
+    return sum;
+}
+std::uint64_t Load::handled() const {
+    std::uint64_t sum = 0;
+    for (const auto& worker : workers_) sum += worker->progress.handled;
+    return sum;
+}
+
+LoadResult Load::finish() {
+    LoadResult result{Tally(terms_.plan.profiles), 0ns, terms_.plan.seed, stopped_, true, "", 1};
+    for (auto& worker : workers_) {
+        if (worker->thread.joinable()) worker->thread.join();
+        result.tally.add(worker->tally);
+        if (!worker->trouble.empty()) result.valid = false, result.why = worker->trouble;
+    }
+    result.length = std::min(steadyNow() - startedAt_, terms_.plan.length);
+    const Latencies& lag = result.tally.lag;
+    if (lag.count() > 0)
+        result.withinShare =
+            1 - static_cast<double>(lag.above(std::chrono::duration<double>(terms_.sendWithin).count())) /
+                    static_cast<double>(lag.count());
+    if (result.valid && terms_.habits.closed == 0 && result.withinShare < terms_.sendShare) {
+        char text[200];
+        std::snprintf(text, sizeof text,
+                      "only %.2f%% of the commands were sent within %.1f ms of their time, %.2f%% were asked "
+                      "for: the machine "
+                      "was too busy for this load, or the servers opened connections too slowly",
+                      result.withinShare * 100, static_cast<double>(terms_.sendWithin.count()) / 1e6,
+                      terms_.sendShare * 100);
+        result.valid = false;
+        result.why = text;
+    }
+    return result;
+}
+
+// ---- what is said of it ---------------------------------------------------------------------------------
+
+namespace {
+
+Json latenciesOf(const Latencies& of) {
+    return {{"count", of.count()},
+            {"mean_ms", of.mean() * 1e3},
+            {"p50_ms", of.quantile(0.5) * 1e3},
+            {"p90_ms", of.quantile(0.9) * 1e3},
+            {"p99_ms", of.quantile(0.99) * 1e3},
+            {"p999_ms", of.quantile(0.999) * 1e3},
+            {"max_ms", of.most() * 1e3}};
+}
+
+Json endsOf(const std::array<std::uint64_t, kEnds>& ends) {
+    Json result;
+    for (std::size_t end = 0; end < kEnds; ++end) result[nameOf(static_cast<End>(end))] = ends[end];
+    return result;
+}
+
+}  // namespace
+
+Json jsonOf(const LoadResult& result, const LoadTerms& terms) {
+    const Tally& tally = result.tally;
+    Json all;
+    all["seed"] = result.seed;
+    all["length_s"] = std::chrono::duration<double>(result.length).count();
+    all["valid"] = result.valid;
+    if (!result.valid) all["why"] = result.why;
+    all["stopped"] = result.stopped;
+    all["planned"] = tally.planned();
+    all["earned"] = tally.earned();
+    all["worth"] = tally.worth();
+    all["earned_share"] = tally.worth() > 0 ? tally.earned() / tally.worth() : 0;
+    all["lag"] = latenciesOf(tally.lag);
+    all["sent_within_share"] = result.withinShare;
+    all["bad_lines"] = tally.badLines;
+    std::array<std::uint64_t, kEnds> ends{};
+    for (std::size_t end = 0; end < kEnds; ++end) ends[end] = tally.of(static_cast<End>(end));
+    all["ends"] = endsOf(ends);
+    all["latency"] = latenciesOf(tally.handled());
+    std::uint64_t tries = 0;
+    for (std::size_t at = 0; at < tally.profiles.size(); ++at) {
+        const ProfileTally& profile = tally.profiles[at];
+        tries += profile.tries;
+        all["profiles"].push_back({{"name", terms.plan.profiles[at].name},
+                                   {"planned", profile.planned},
+                                   {"tries", profile.tries},
+                                   {"ends", endsOf(profile.ends)},
+                                   {"worth", profile.worth},
+                                   {"earned", profile.earned},
+                                   {"latency", latenciesOf(profile.fromSchedule)},
+                                   {"latency_from_write", latenciesOf(profile.fromWrite)}});
+    }
+    all["tries"] = tries;
+    const Links& links = tally.links;
+    all["connections"] = {{"opened", links.opened},   {"refused", links.refused},
+                          {"reset", links.reset},     {"closed", links.closed},
+                          {"goaways", links.goaways}, {"idle closed", links.idleClosed},
+                          {"checks", links.checks},   {"bad checks", links.badChecks},
+                          {"forgets", links.forgets}, {"sent again", links.sentAgain}};
+    Json again;
+    for (std::size_t why = 0; why < links.notAgain.size(); ++why)
+        again[decide::nameOf(static_cast<decide::Why>(why))] = links.notAgain[why];
+    all["after_failed_tries"] = again;
+    all["broken"] = {{"twice", tally.broken.twice},
+                     {"to nothing", tally.broken.toNothing},
+                     {"unreadable", tally.broken.unreadable},
+                     {"wrong result", tally.broken.wrongResult},
+                     {"lost", tally.broken.lost},
+                     {"examples", tally.broken.examples}};
+    const double width = std::chrono::duration<double>(tally.series.width()).count();
+    all["seconds"] = Json::array();
+    for (std::size_t at = 0; at < tally.series.stretches().size(); ++at) {
+        const Stretch& stretch = tally.series.stretches()[at];
+        const auto quantile = [&](double part) {
+            return stretch.latencies ? stretch.latencies->quantile(part) * 1e3 : 0;
+        };
+        all["seconds"].push_back({{"at_s", width * static_cast<double>(at)},
+                                  {"width_s", width},
+                                  {"ends", endsOf(stretch.ends)},
+                                  {"tries", stretch.tries},
+                                  {"open", stretch.open},
+                                  {"earned", stretch.earned},
+                                  {"worth", stretch.worth},
+                                  {"p50_ms", quantile(0.5)},
+                                  {"p99_ms", quantile(0.99)},
+                                  {"p999_ms", quantile(0.999)},
+                                  {"max_ms", stretch.latencies ? stretch.latencies->most() * 1e3 : 0}});
+    }
+    all["tail"] = Json::array();
+    for (const auto& [part, seconds] : tally.handled().tail()) all["tail"].push_back({part, seconds * 1e3});
+    return all;
+}
+
+std::string textOf(const LoadResult& result, const LoadTerms& terms) {
+    const Tally& tally = result.tally;
+    std::string text;
+    char line[400];
+    const auto add = [&](const char* format, auto... figures) {
+        std::snprintf(line, sizeof line, format, figures...);
+        text += line;
+    };
+    if (!result.valid) text += "INVALID: " + result.why + "\n";
+    const double seconds = std::max(1e-9, std::chrono::duration<double>(result.length).count());
+    add("%llu commands in %.1f s (%.1f/s), seed %llu%s\n", static_cast<unsigned long long>(tally.planned()),
+        seconds, static_cast<double>(tally.planned()) / seconds, static_cast<unsigned long long>(result.seed),
+        result.stopped ? ", stopped before its end" : "");
+    add("earned %.1f of %.1f (%.1f%%)\n\n", tally.earned(), tally.worth(),
+        tally.worth() > 0 ? 100 * tally.earned() / tally.worth() : 0.0);
+    add("%-16s %9s %9s %7s %8s %9s %9s %8s %7s %9s %9s %9s %9s\n", "profile", "commands", "handled", "late",
+        "bounced", "scrapped", "no answer", "conn lost", "unsent", "p50 ms", "p99 ms", "p99.9 ms", "max ms");
+    const auto row = [&](const std::string& name, std::uint64_t planned,
+                         const std::array<std::uint64_t, kEnds>& ends, const Latencies& of) {
+        const auto n = [&](End end) {
+            return static_cast<unsigned long long>(ends[static_cast<std::size_t>(end)]);
+        };
+        add("%-16s %9llu %9llu %7llu %8llu %9llu %9llu %9llu %7llu %9.2f %9.2f %9.2f %9.2f\n",
+            name.substr(0, 16).c_str(), static_cast<unsigned long long>(planned), n(End::Handled),
+            n(End::Late), n(End::Bounced), n(End::Scrapped), n(End::NoAnswer), n(End::ConnectionLost),
+            n(End::NeverSent), of.quantile(0.5) * 1e3, of.quantile(0.99) * 1e3, of.quantile(0.999) * 1e3,
+            of.most() * 1e3);
+    };
+    std::array<std::uint64_t, kEnds> ends{};
+    std::uint64_t tries = 0;
+    for (std::size_t at = 0; at < tally.profiles.size(); ++at) {
+        row(terms.plan.profiles[at].name, tally.profiles[at].planned, tally.profiles[at].ends,
+            tally.profiles[at].fromSchedule);
+        for (std::size_t end = 0; end < kEnds; ++end) ends[end] += tally.profiles[at].ends[end];
+        tries += tally.profiles[at].tries;
+    }
+    if (tally.profiles.size() > 1) row("all", tally.planned(), ends, tally.handled());
+    add("\ntries %llu; sent late by p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, at most %.3f ms (%.3f%% within "
+        "%.1f ms)\n",
+        static_cast<unsigned long long>(tries), tally.lag.quantile(0.5) * 1e3, tally.lag.quantile(0.99) * 1e3,
+        tally.lag.quantile(0.999) * 1e3, tally.lag.most() * 1e3, result.withinShare * 100,
+        static_cast<double>(terms.sendWithin.count()) / 1e6);
+    if (tally.badLines > 0)
+        add("%llu lines of the trace could not be read\n", static_cast<unsigned long long>(tally.badLines));
+    if (tally.broken.all() > 0) {
+        add("BROKEN RULES: %llu\n", static_cast<unsigned long long>(tally.broken.all()));
+        for (const std::string& example : tally.broken.examples) text += "  " + example + "\n";
+    }
+    return text;
+}
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/pace.cpp
@@ -0,0 +1,82 @@
+#include "lab/pace.h"
+
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+
+namespace cottonwing::lab {
+
+Nanos steadyNow() {
+    return std::chrono::duration_cast<Nanos>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+struct Pace::Handle {
+    uv_poll_t poll;
+    int descriptor = -1;
+    std::function<void()> rings;
+};
+
+Pace::Pace(net::Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, -1, std::move(rings)}) {
+    handle_->descriptor = timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+    if (handle_->descriptor < 0) {
+        delete handle_;
+        throw std::runtime_error(std::string("timer: ") + std::strerror(errno));
+    }
+    uv_poll_init(loop.raw(), &handle_->poll, handle_->descriptor);
+    handle_->poll.data = handle_;
+    uv_poll_start(&handle_->poll, UV_READABLE, [](uv_poll_t* poll, int, int) {
+        Handle& rung = *static_cast<Handle*>(poll->data);
+        std::uint64_t times = 0;
+        if (read(rung.descriptor, &times, sizeof times) != static_cast<ssize_t>(sizeof times)) return;
+        const auto rings = rung.rings;  // what rings may destroy the timer
+        net::Loop::of(poll->loop).guarded(rings);
+    });
+    uv_unref(reinterpret_cast<uv_handle_t*>(&handle_->poll));
+}
+
+Pace::~Pace() {
+    uv_poll_stop(&handle_->poll);
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->poll), [](uv_handle_t* closed) {
+        auto* handle = static_cast<Handle*>(closed->data);
+        close(handle->descriptor);
+        delete handle;
+    });
+}
+
+void Pace::ringAt(Nanos steady) {
+    const std::int64_t at = std::max<std::int64_t>(steady.count(), 1);  // 0 would stop it
+    itimerspec when{};
+    when.it_value.tv_sec = static_cast<time_t>(at / 1000000000);
+    when.it_value.tv_nsec = static_cast<long>(at % 1000000000);
+    timerfd_settime(handle_->descriptor, TFD_TIMER_ABSTIME, &when, nullptr);
+}
+
+void Pace::stop() {
+    const itimerspec never{};
+    timerfd_settime(handle_->descriptor, 0, &never, nullptr);
+}
+
+struct Bell::Handle {
+    uv_async_t async;
+    std::function<void()> rings;
+};
+
+Bell::Bell(net::Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings)}) {
+    uv_async_init(loop.raw(), &handle_->async, [](uv_async_t* async) {
+        const auto rings = static_cast<Handle*>(async->data)->rings;
+        net::Loop::of(async->loop).guarded(rings);
+    });
+    handle_->async.data = handle_;
+}
+
+Bell::~Bell() {
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->async),
+             [](uv_handle_t* closed) { delete static_cast<Handle*>(closed->data); });
+}
+
+void Bell::ring() { uv_async_send(&handle_->async); }
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/plan.h
@@ -0,0 +1,93 @@
+// What is sent: the commands of a run with all that they say, drawn from a seed or read from a trace. A plan
+// is a stream; the same file and seed give the same commands on any machine and for any number of workers.
+#pragma once
+
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/draw.h"
+#include "lab/shape.h"
+#include "logic.h"
+
+namespace cottonwing::lab {
+
+struct Profile {
+    std::string name;
+    double share = 1;  // of the commands, beside the other shares
+    double worth = 1;
+    double lateShare = 0;  // part of the worth after the promised time
+    Nanos promised{std::chrono::seconds(1)}, hardStop{std::chrono::seconds(5)};
+    Repeat repeat = Repeat::Repeatable;
+    Distribution work = Distribution::always(0.005);  // seconds on a core of usual speed
+    Distribution call = Distribution::always(0.02);   // seconds of each call
+    int calls = 0;                                    // in its run
+    Distribution body = Distribution::always(200);    // bytes
+    Distribution held = Distribution::always(20480);  // bytes that it takes where it is held
+    Distribution patience = Distribution::always(0);  // seconds; 0: the hard stop
+    double hintError = 0.3;                           // the hint of its work is off by a factor of e^±this
+    double failing = 0;                               // part of the runs that fail by themselves
+    std::string claims;                               // another profile that it says it is of, if any
+};
+
+struct Planned {
+    std::uint64_t number = 0;  // from 0
+    Nanos at{0};               // from the start of the run
+    int profile = 0;
+    std::uint64_t customer = 0, subject = 0;
+    std::uint32_t body = 0;  // bytes
+    double heldKb = 0;
+    Nanos work{0}, hint{0}, call{0}, patience{0};
+    double rank = 0;
+    bool again = false, fails = false;
+    bool operator==(const Planned&) const = default;
+};
+
+struct TraceTerms {
+    std::string file;
+    double stretch = 1;  // 2: twice as slow
+    double keep = 1;     // thinned: each is kept with this chance
+    double copies = 1;   // each is sent this often, in the gap behind it: a burst stays a burst
+    Nanos from{0}, until{Nanos::max()};  // cut, in the trace's own time
+    bool skipBad = false;
+};
+
+struct PlanTerms {
+    std::uint64_t seed = 1;
+    Nanos length{std::chrono::seconds(10)};
+    std::vector<Profile> profiles;
+    std::uint64_t customers = 1, subjects = 1000;
+    double customerSkew = 1, subjectSkew = 0.9;  // Zipf's exponent
+    Spacing spacing = Spacing::Poisson;
+    const kdl::Node* rate = nullptr;  // lives in the document
+    std::optional<TraceTerms> trace;
+};
+
+class Plan {
+public:
+    virtual ~Plan() = default;
+    virtual std::optional<Planned> next() = 0;
+    // Lines of a trace that could not be read, so far.
+    virtual std::uint64_t skipped() const { return 0; }
+};
+
+// Throws kdl::Problem, for a trace with the number of its line.
+std::unique_ptr<Plan> makePlan(const PlanTerms& terms);
+
+// Writes a trace that read again gives the same commands.
+class TraceWriter {
+public:
+    TraceWriter(const std::string& path, const std::vector<Profile>& profiles);
+    void add(const Planned& planned);
+    bool close();  // false where something could not be written
+
+private:
+    std::ofstream out_;
+    std::vector<std::string> names_;
+};
+
+std::string customerName(std::uint64_t customer);
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/sidecar_thrift.h
@@ -0,0 +1,29 @@
+// The sidecars' side of the Thrift front: commands, forgets and health checks written, answers read. Pure.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "thrift/binary.h"
+
+namespace cottonwing::lab {
+
+struct Heard {
+    enum class Kind { Answer, Busy, Failed, Exception, Goaway } kind = Kind::Exception;
+    std::int32_t sequence = 0;
+    bool health = false;  // an answer to isWell
+    bool good = false;
+    std::string body;
+    thrift::Fields fields;
+};
+
+// Whole frames.
+std::string writeServe(std::int32_t sequence, const thrift::Fields& fields, std::string_view body);
+std::string writeForget(std::int32_t sequence, std::int32_t which);
+std::string writeIsWell(std::int32_t sequence, bool thorough);
+
+// The content of one frame; nothing when it is none that a server of ours may send.
+std::optional<Heard> readHeard(std::string_view frame);
+
+}  // namespace cottonwing::lab
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -482,13 +482,13 @@
     }
 
     // The crowd that kills counts what is on the cores; what waits at a call may come back all at once.
-    double crowdCeiling() const {
+    double crowdBorne() const {
         double speed = 1;
         if (terms_.cold && terms_.rampTime > 0ns)
             speed =
                 std::min(1.0, terms_.startCapacity + (1 - terms_.startCapacity) * seconds(now_ - bornAt_) /
                                                          seconds(terms_.rampTime));
-        return terms_.cores * (1 + (terms_.fallMultiple - 1) * speed) * kCrowdSafety;
+        return terms_.cores * (1 + (terms_.fallMultiple - 1) * speed);
     }
 
     void toCores(InHand& in) { in.phase = Phase::Running, in.since = now_, ++onCores_; }
@@ -497,9 +497,10 @@
         // One that would only wait for its call there takes memory and the place of one that makes none, and
         // is lost work where it can't be served: bounced from the hold, it may still be handled elsewhere.
         const double line = callPace() * static_cast<double>(atCalls_.size());
-        // Whole runs under the ceiling, and one in any case: where it is low, a part of a run is too much.
-        const double ceiling = std::max(1.0, crowdCeiling());
-        for (auto next = hold_.begin(); next != hold_.end() && onCores_ < limit_ && running_ + 1 <= ceiling;) {
+        // Where the machine bears little, the last run that fits under the safe part may be a part too much.
+        const double bears = crowdBorne(), safe = bears * kCrowdSafety;
+        for (auto next = hold_.begin();
+             next != hold_.end() && onCores_ < limit_ && running_ < safe && running_ + 1 <= bears;) {
             const auto at = table_.find((next++)->second);
             InHand& in = at->second;
             if (profiles_[in.profile].terms.calls && line > 2 * onCores(in, profiles_[in.profile])) continue;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -71,9 +71,10 @@
     uv_timer_t timer;
     std::function<void()> rings;
     std::uint64_t due = 0;  // on the loop's clock; 0 once the sockets were looked at
+    std::chrono::steady_clock::time_point notBefore{};
 };
 
-Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings), 0}) {
+Timer::Timer(Loop& loop, std::function<void()> rings) : handle_(new Handle{{}, std::move(rings), 0, {}}) {
     uv_timer_init(loop.raw(), &handle_->timer);
     handle_->timer.data = handle_;
 }
@@ -87,6 +88,7 @@
     using Millis = std::chrono::milliseconds;
     uv_update_time(handle_->timer.loop);
     const auto millis = std::chrono::ceil<Millis>(std::max(wait, Nanos(0))).count();
+    handle_->notBefore = std::chrono::steady_clock::now() + std::max(wait, Nanos(0));
     handle_->due = uv_now(handle_->timer.loop) + static_cast<std::uint64_t>(millis);
     arm(*handle_, static_cast<std::uint64_t>(millis));
 }
@@ -96,6 +98,8 @@
         &handle.timer,
         [](uv_timer_t* timer) {
             Handle& rung = *static_cast<Handle*>(timer->data);
+            // The loop's clock is cut to whole milliseconds: counted from its present one, some are too few.
+            if (std::chrono::steady_clock::now() < rung.notBefore) return arm(rung, 1);
             const std::uint64_t due = std::exchange(rung.due, 0);
             if (due > 0 && uv_now(timer->loop) > due + kLate) return arm(rung, 1);
             // A copy: what rings may destroy the timer.
--- /dev/null
+++ b/tests/lab_world_test.cpp
@@ -0,0 +1,389 @@
+// The emulated world: that its cores share as they say, that its books notice each broken rule, that its
+// services have the troubles they are told to have; and a short morning with real backends in it.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <filesystem>
+#include <fstream>
+#include <map>
+
+#include "helpers.h"
+#include "lab/compare.h"
+#include "lab/experiment.h"
+#include "lab/report.h"
+
+namespace cottonwing::lab {
+namespace {
+
+using namespace std::chrono_literals;
+using cottonwing::testing::until;
+
+int upTo(int most) { return *rc::gen::resize(1000, rc::gen::inRange(0, most + 1)); }
+
+// ---- cores ----------------------------------------------------------------------------------------------
+
+// Against a plain count of every run's work in small steps: the same ends, in the same order, at the same
+// times.
+RC_GTEST_PROP(EmulatedCores, ShareAsAPlainCountOfEveryRunDoes, ()) {
+    CoreTerms terms;
+    terms.cores = 1 + upTo(3);
+    terms.thrashAt = 1 + upTo(2);
+    Cores cores(terms);
+    cores.start(0s);
+    std::map<std::uint64_t, double> plain;
+    std::vector<std::pair<std::uint64_t, Nanos>> ends, plainEnds;
+    std::uint64_t next = 1;
+    constexpr Nanos kStep = 100us;
+    for (Nanos now = 0s; now < 400ms; now += kStep) {
+        if (now % 5ms == 0ns) {
+            if (next <= 30 && upTo(2) == 0) {
+                const double work = 0.001 * (1 + upTo(40));
+                cores.add(next, work, now);
+                plain[next++] = work;
+            } else if (!plain.empty() && upTo(20) == 0) {
+                const std::uint64_t id = plain.begin()->first;
+                RC_ASSERT(std::abs(cores.remove(id, now) - plain.at(id)) < 0.0005);
+                plain.erase(id);
+            }
+        }
+        const double n = static_cast<double>(plain.size()), crowd = n / terms.cores;
+        double rate = n == 0 ? 0 : std::min(1.0, terms.cores / n);
+        if (crowd > terms.thrashAt)
+            rate *= std::max(terms.thrashTo,
+                             1 - (1 - terms.thrashTo) * (crowd - terms.thrashAt) / terms.thrashAt);
+        for (auto at = plain.begin(); at != plain.end();) {
+            at->second -= rate * std::chrono::duration<double>(kStep).count();
+            if (at->second <= 0) {
+                plainEnds.emplace_back(at->first, now);
+                at = plain.erase(at);
+            } else {
+                ++at;
+            }
+        }
+        for (const std::uint64_t id : cores.ended(now + kStep)) ends.emplace_back(id, now);
+        // Both may see the same end in neighbouring steps: what one has ended the other ends soon.
+        RC_ASSERT(cores.running() <= plain.size() + 2 && plain.size() <= cores.running() + 2);
+    }
+    std::map<std::uint64_t, Nanos> byId(plainEnds.begin(), plainEnds.end());
+    for (const auto& [id, at] : ends) {
+        const auto found = byId.find(id);
+        if (found == byId.end()) {
+            RC_ASSERT(at > 395ms);
+        } else {
+            RC_ASSERT(std::abs((at - found->second).count()) <= 3000000);
+        }
+    }
+}
+
+TEST(EmulatedCores, APauseAndAColdStartTakeTheirTime) {
+    CoreTerms terms;
+    terms.cores = 1;
+    Cores cores(terms);
+    cores.start(0s);
+    cores.add(1, 0.1, 0s);
+    cores.setSlow(0, 50ms);
+    EXPECT_FALSE(cores.nextEnd());
+    cores.setSlow(1, 5s);
+    EXPECT_TRUE(cores.ended(5s + 49ms).empty());
+    EXPECT_EQ(cores.ended(5s + 51ms).size(), 1U);
+    terms.coldPart = 0.25;
+    terms.warmsOver = 10s;
+    Cores cold(terms);
+    cold.start(0s);
+    cold.add(1, 0.1, 0s);
+    EXPECT_TRUE(cold.ended(300ms).empty());
+    EXPECT_EQ(cold.ended(400ms).size(), 1U);
+}
+
+// ---- books ----------------------------------------------------------------------------------------------
+
+std::vector<Profile> twoProfiles() {
+    Profile read, write;
+    read.name = "read";
+    write.name = "write";
+    write.repeat = Repeat::OnceOnly;
+    return {read, write};
+}
+Planned planned(int profile, double kb = 20) {
+    Planned result;
+    result.profile = profile;
+    result.heldKb = kb;
+    return result;
+}
+std::uint64_t count(const Books& books, Rule rule) { return books.counts()[static_cast<std::size_t>(rule)]; }
+
+TEST(TheBooks, NoticeWhatRunsAgainOrIsBouncedAfterItRan) {
+    Books books(twoProfiles(), 60s, 1e6, 4);
+    books.sent(planned(0), "r1", "r1", 0);
+    books.spawned(0, "r1", "r1", steadyNow());
+    books.sent(planned(0), "r2", "r1", 1);
+    books.spawned(1, "r2", "r1", steadyNow());
+    EXPECT_EQ(count(books, Rule::Twice), 0U) << "what is repeatable may run again";
+    books.sent(planned(1), "w1", "w1", 0);
+    books.spawned(0, "w1", "w1", steadyNow());
+    books.sent(planned(1), "w2", "w1", 1);
+    books.spawned(1, "w2", "w1", steadyNow());
+    EXPECT_EQ(count(books, Rule::Twice), 1U);
+    EXPECT_NE(books.breaches()[0].what.find("w2 ran again (first try w1), instance 1"), std::string::npos);
+    books.answered("w2", Heard::Kind::Busy);
+    EXPECT_EQ(count(books, Rule::Twice), 2U);
+    books.sent(planned(0), "r3", "r3", 0);
+    books.answered("r3", Heard::Kind::Answer);
+    EXPECT_EQ(count(books, Rule::Lost), 1U) << "handled without a run";
+}
+
+TEST(TheBooks, NoticeCallsMadeAgainUnlessTheLastIsKnownNotToHaveRun) {
+    Books books(twoProfiles(), 60s, 1e6, 4);
+    books.sent(planned(1), "w1", "w1", 0);
+    books.spawned(0, "w1", "w1", steadyNow());
+    books.calling(0, "w1");
+    books.callEnded("w1", true);
+    books.calling(0, "w1");
+    EXPECT_EQ(count(books, Rule::Twice), 0U);
+    books.calling(0, "w1");
+    EXPECT_EQ(count(books, Rule::Twice), 1U);
+}
+
+TEST(TheBooks, NoticeMemoryAndLateStartsAndForgetInTime) {
+    Books books(twoProfiles(), 60s, 100, 4);
+    books.sent(planned(0, 30), "a", "a", 0);
+    books.spawned(0, "a", "a", steadyNow());
+    EXPECT_EQ(count(books, Rule::FallOver), 1U) << "four times 30 of 100";
+    EXPECT_DOUBLE_EQ(books.memoryKb(0), 120);
+    books.released("a");
+    books.finished("a");
+    EXPECT_DOUBLE_EQ(books.memoryKb(0), 0);
+    books.notice(0, steadyNow() - 1s, 100ms);
+    books.sent(planned(0, 1), "late", "late", 0);
+    books.spawned(0, "late", "late", steadyNow());
+    EXPECT_EQ(count(books, Rule::Drain), 1U);
+    Books brief(twoProfiles(), 0s, 1e6, 4);
+    for (int n = 0; n < 1000; ++n) brief.sent(planned(0), std::to_string(n), std::to_string(n), 0);
+    EXPECT_LT(brief.entries(), 10U);
+}
+
+// ---- services -------------------------------------------------------------------------------------------
+
+// A connection that keeps what it hears.
+struct Peer : net::Owner {
+    Peer(net::Loop& loop, const net::Address& to)
+        : connection(std::make_unique<net::Connection>(loop, to, *this, net::Bounds{1 << 20, 1 << 20})) {}
+    void arrived(net::Connection& from) override {
+        std::string scratch;
+        text += from.input().peek(from.input().size(), scratch);
+        from.input().drop(from.input().size());
+    }
+    void ended(net::Connection&, net::ConnectionEnd) override { gone = true, connection.reset(); }
+    bool heard(const std::string& what) const { return text.find(what) != text.npos; }
+    std::unique_ptr<net::Connection> connection;
+    std::string text;
+    bool gone = false;
+};
+
+std::string spawnLine(int job, int micros, int calls) {
+    const std::string name = "000000000000000" + std::to_string(job);
+    return runs::startLine(
+        name, "read",
+        "cw1 " + name + " " + std::to_string(micros) + " " + std::to_string(calls) + " 1000 0;");
+}
+
+struct Place {
+    net::Loop loop;
+    Books books{twoProfiles(), 60s, 1e6, 4};
+    net::Address at{"127.0.0." + std::to_string(2 + getpid() % 250), 0};
+};
+
+int freePort(net::Loop& loop, const std::string& host) {
+    return net::Listener(
+               loop, {host, 0}, [](uv_stream_t*) {}, [] { return false; })
+        .port();
+}
+
+TEST(EmulatedPool, RunsBlocksAndSaysAgainWhatALostLinkMissed) {
+    Place place;
+    place.at.port = freePort(place.loop, place.at.host);
+    PoolTerms terms;
+    terms.twiceEvery = 2;
+    WorkerPool pool(place.loop, 0, place.at, terms, place.books);
+    auto link = std::make_unique<Peer>(place.loop, place.at);
+    link->connection->send(runs::bindLine(0) + spawnLine(1, 2000, 1) + spawnLine(2, 1000, 0));
+    until(place.loop, [&] { return link->heard("blocked") && link->heard("finished"); });
+    EXPECT_TRUE(link->heard("\"bound\""));
+    link.reset();
+    link = std::make_unique<Peer>(place.loop, place.at);
+    link->connection->send(runs::bindLine(0));
+    until(place.loop, [&] { return link->heard("blocked") && link->heard("finished"); });
+    link->connection->send(runs::supplyLine("0000000000000001", "reply"));
+    until(place.loop, [&] { return link->heard("\"n\":3"); });
+    EXPECT_EQ(pool.inHand(), 0U);
+    link->connection->send("this is no command\n");
+    until(place.loop, [&] { return link->gone; });
+}
+
+TEST(EmulatedPool, ACrowdPastWhatItBearsIsAFallOver) {
+    Place place;
+    place.at.port = freePort(place.loop, place.at.host);
+    PoolTerms terms;
+    terms.cores.cores = 1;
+    terms.fallMultiple = 3;
+    terms.fallOver = 100ms;
+    WorkerPool pool(place.loop, 0, place.at, terms, place.books);
+    Peer link(place.loop, place.at);
+    link.connection->send(runs::bindLine(0));
+    for (int job = 1; job < 8; ++job) link.connection->send(spawnLine(job, 50000000, 0));
+    until(place.loop, [&] { return count(place.books, Rule::FallOver) > 0; });
+}
+
+std::string callText(const std::string& of, int micros) {
+    const std::string body = "call " + of + " " + std::to_string(micros);
+    return "POST /records/op HTTP/1.1\r\nOp-Of: " + of +
+           "\r\nOp-Wait-Ms: 500\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+TEST(EmulatedRecords, AnswerTurnAwayHangAndGoDownAsTold) {
+    Place place;
+    place.at.port = freePort(place.loop, place.at.host);
+    RecordsTerms terms;
+    terms.slots = 1;
+    terms.line = 1;
+    RecordsService records(place.loop, {place.at}, terms, place.books);
+    Peer first(place.loop, place.at), second(place.loop, place.at), third(place.loop, place.at);
+    first.connection->send(callText("0000000000000001", 100000));
+    until(place.loop, [&] { return records.inHands() == 1; });
+    second.connection->send(callText("0000000000000002", 1000));
+    until(place.loop, [&] { return records.inHands() == 2; });
+    third.connection->send(callText("0000000000000003", 1000));
+    until(place.loop, [&] { return third.heard("503"); });
+    EXPECT_TRUE(third.heard("Op-Not-Begun: 1"));
+    until(place.loop, [&] { return first.heard("200") && second.heard("re 0000000000000002"); });
+    records.spoil(1);
+    third.connection->send(callText("0000000000000003", 1000));
+    until(place.loop, [&] { return third.heard("2oo WHAT"); });
+    records.spoil(0);
+    records.hang(1);
+    first.connection->send(callText("0000000000000004", 1000));
+    until(place.loop, [&] { return records.inHands() == 1; });
+    first.connection.reset();  // given up: in its hands for a while yet, then gone
+    until(place.loop, [&] { return records.inHands() == 0; });
+    records.down(true);
+    until(place.loop, [&] { return second.gone; });
+    Peer refused(place.loop, place.at);
+    until(place.loop, [&] { return refused.gone; });
+    records.hang(0);
+    records.down(false);
+    Peer again(place.loop, place.at);
+    again.connection->send(callText("0000000000000005", 1000));
+    until(place.loop, [&] { return again.heard("200"); });
+}
+
+// ---- a morning ------------------------------------------------------------------------------------------
+
+TEST(Ratios, TellChanceFromADifference) {
+    const Ratio same = ratioOf({0.50, 0.61, 0.55}, {0.52, 0.60, 0.54});
+    EXPECT_FALSE(same.told);
+    EXPECT_NEAR(same.mean, 1, 0.02);
+    const Ratio better = ratioOf({0.66, 0.77, 0.71}, {0.60, 0.70, 0.65});
+    EXPECT_TRUE(better.told);
+    EXPECT_NEAR(better.mean, 1.1, 0.01);
+    EXPECT_GT(better.low, 1.05);
+    EXPECT_TRUE(std::isinf(ratioOf({1}, {2}).high));
+}
+
+constexpr const char* kMorning = R"(
+experiment "short" {
+    about "A short morning <with> troubles & all"
+    backends 2 stop=1500ms grace=300ms
+    pool cores=2 heap=40MiB pieces-every=7 twice-every=11
+    records slots=10 share=12
+    trouble "records" at=500ms for=1s slow=4 hang=5% spoil=5%
+    trouble "link-break" at=800ms on=1
+    trouble "reload" at=900ms
+    trouble "crash" at=1s for=500ms on=2
+    trouble "release" at=2s on=1
+}
+load {
+    length 4s
+    rate { steady 100/s }
+    profile read { share 60%; promised 500ms; hard-stop 2s; work exponential mean=3ms }
+    profile write { share 40%; worth 3; repeat once-only; promised 1s; hard-stop 3s; work 5ms; calls 1; call 10ms }
+    customers 5
+    callers 4 { checks 200ms }
+    send-within 10s
+}
+)";
+
+std::string experimentFile(const std::string& text) {
+    const std::string path =
+        ::testing::TempDir() + "cottonwing-experiment-" + std::to_string(getpid()) + ".kdl";
+    std::ofstream(path) << text;
+    return path;
+}
+
+TEST(AMorning, BreaksNoRuleWhateverGoesWrongAroundIt) {
+    const auto terms = readExperiment(experimentFile(kMorning));
+    const std::string folder = ::testing::TempDir() + "cottonwing-experiment-" + std::to_string(getpid());
+    Experiment experiment(*terms, COTTONWING, folder);
+    const ExperimentResult result = experiment.run();
+    EXPECT_EQ(result.broken, 0U) << result.figures["broken"].dump(1) << result.figures["notes"].dump(1);
+    const auto& load = result.figures["load"];
+    std::uint64_t sum = 0;
+    for (const auto& [end, number] : load["ends"].items()) sum += number.get<std::uint64_t>();
+    EXPECT_EQ(sum, load["planned"].get<std::uint64_t>());
+    EXPECT_GT(result.earnedShare, 0.3);
+    EXPECT_GT(result.figures["records"]["calls"].get<int>(), 0);
+    for (const auto& backend : result.figures["backends"]) EXPECT_GT(backend["runs_started"].get<int>(), 0);
+
+    nlohmann::json results = {{"plays", nlohmann::json::array({result.figures, result.figures})}};
+    results["plays"][0]["side"] = "A";
+    results["plays"][1]["side"] = "B";
+    results["ratio"] = {{"mean", 1.0}, {"low", 0.9}, {"high", 1.1}, {"pairs", 1}, {"told", false}};
+    const std::string page = pageOf(results);
+    EXPECT_NE(page.find("A short morning &lt;with&gt; troubles &amp; all"), std::string::npos);
+    for (const char* part : {"<svg", "tail of the latency", "records for=1s hang=5% slow=4 spoil=5%",
+                             "A over B", "connection lost"})
+        EXPECT_NE(page.find(part), std::string::npos) << part;
+    for (const char* outside : {"http://", "https://", "src=", "<script", "nan", "inf,"})
+        EXPECT_EQ(page.find(outside), std::string::npos) << outside;
+    std::filesystem::remove_all(folder);
+}
+
+TEST(AMorning, ABackendThatDoesNotStartIsNamed) {
+    const auto terms = readExperiment(experimentFile(kMorning));
+    const std::string folder = ::testing::TempDir() + "cottonwing-experiment-" + std::to_string(getpid());
+    EXPECT_THROW(Experiment(*terms, "/no/such/program", folder), std::runtime_error);
+    Experiment experiment(*terms, "/bin/true", folder);
+    try {
+        experiment.run();
+        FAIL();
+    } catch (const std::runtime_error& error) {
+        EXPECT_NE(std::string(error.what()).find("did not come up"), std::string::npos) << error.what();
+    }
+    std::filesystem::remove_all(folder);
+}
+
+TEST(AMorning, MistakesInItsFileAreNamed) {
+    const auto problemOf = [](const std::string& text) {
+        try {
+            readExperiment(experimentFile(text));
+        } catch (const kdl::Problem& problem) {
+            return std::string(problem.what());
+        }
+        return std::string("none");
+    };
+    const std::string load = "load { rate { steady 1/s }; profile a }\n";
+    EXPECT_NE(problemOf(load).find("no 'experiment' was found"), std::string::npos);
+    EXPECT_NE(problemOf("experiment \"a b\"\n" + load).find("letters, digits, - and _"), std::string::npos);
+    EXPECT_NE(problemOf("experiment a { trouble \"flood\" at=1s }\n" + load)
+                  .find(":1:24: 'flood' was found, one of records, pool"),
+              std::string::npos);
+    EXPECT_NE(problemOf("experiment a { trouble \"crash\" }\n" + load).find("'at=10s' was expected"),
+              std::string::npos);
+    EXPECT_NE(problemOf("experiment a { backends 2; trouble \"stall\" at=1s on=3 }\n" + load)
+                  .find("a whole number from 1 to 2"),
+              std::string::npos);
+}
+
+}  // namespace
+}  // namespace cottonwing::lab
