--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -35,13 +35,14 @@
     counters_.add(Count::CommandsRead);
     const CommandId id = arrival.command.id;
     const auto at = table_.emplace(id, Owned{}).first;
+    at->second.door = arrival.from != nullptr ? arrival.from : doors_.front();
     ++unanswered_;
     // Nothing can run before the machine is there, or without memory of our own for it: a body each for the
     // command, its call and the reply.
     const std::size_t bytes = 3 * arrival.body.size() + kEachTakes;
     if (!decider_ || bytes_ + bytes > mostBytes_) {
         if (decider_) counters_.add(Count::NoMemory);
-        door_->bounced(id, 0ns, false);
+        at->second.door->bounced(id, 0ns, false);
         answered(at, Count::Bounced);
         return;
     }
@@ -49,6 +50,10 @@
     at->second.name = std::move(arrival.name);
     at->second.body = std::move(arrival.body);
     at->second.profile = arrival.command.profile;
+    at->second.form = arrival.form;
+    at->second.subject = arrival.subject;
+    at->second.due = arrival.command.due.value_or(
+        net::unixNow() + terms_.profiles[static_cast<std::size_t>(arrival.command.profile)].hardStop);
     round_.read.push_back(arrival.command);
     fresh_ = true;
 }
@@ -98,10 +103,10 @@
     if (!owned.waiting()) return dropIfDone(at);
     if (outcome == Outcome::Ok) {
         workSeen_ = true;
-        door_->handled(id, result);
+        owned.door->handled(id, result);
         return answered(at, Count::Handled);
     }
-    door_->scrapped(id);
+    owned.door->scrapped(id);
     answered(at, Count::Scrapped);
 }
 
@@ -109,7 +114,7 @@
     const auto at = table_.find(id);
     if (at == table_.end() || !at->second.running) return;
     if (at->second.waiting()) {
-        door_->unknown(id);
+        at->second.door->unknown(id);
         answered(at, Count::Scrapped);  // its run has yet to end, so it stays
     }
     runEnded(id, Outcome::Moot, 0ns, {});
@@ -181,7 +186,7 @@
             if (!there || at->second.running) return;
             at->second.running = true;
             counters_.add(Count::RunsStarted);
-            return runs_->start(at->second.name, at->second.profile, at->second.body);
+            return startRun(at->second);
         case Kind::Halt:
             if (!there || !at->second.running) return;
             counters_.add(Count::RunsHalted);
@@ -194,9 +199,9 @@
         case Kind::Scrap:
             if (!there || !at->second.waiting()) return;
             if (decision.kind == Kind::Bounce)
-                door_->bounced(decision.id, decision.time, decision.yes);
+                at->second.door->bounced(decision.id, decision.time, decision.yes);
             else
-                door_->scrapped(decision.id);
+                at->second.door->scrapped(decision.id);
             if (at->second.calling) calls_->giveUp(decision.id);
             at->second.calling = false;
             return answered(at, decision.kind == Kind::Bounce ? Count::Bounced : Count::Scrapped);
@@ -209,13 +214,18 @@
             freeValue_ = decision.value;
             return;
         case Kind::CloseIdle:
-            return door_->closeIdle(decision.time);
+            for (Door* door : doors_) door->closeIdle(decision.time);
+            return;
         case Kind::Wake:
             alarmAt_ = last_ + decision.time;
             return alarm_.start(decision.time);
     }
 }
 
+void Backend::startRun(const Owned& owned) {
+    runs_->start({owned.name, owned.profile, owned.body, owned.form, owned.subject, owned.due});
+}
+
 void Backend::answered(Table::iterator at, Count kind) {
     counters_.add(kind);
     --unanswered_;
@@ -235,7 +245,7 @@
         // Also for one that nobody waits for any more: only an end, if of nothing, closes its books. A run
         // that may have ended meanwhile is not risked twice where once is all that is allowed.
         if (terms_.profiles[static_cast<std::size_t>(owned.profile)].repeat == Repeat::Repeatable)
-            runs_->start(owned.name, owned.profile, owned.body);
+            startRun(owned);
         if (!owned.waiting() && terms_.halting != Halting::Never)
             runs_->halt(owned.name);
         else if (owned.suppliedAt > 0ns && owned.suppliedAt > lostAt - kUnsure)
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -31,17 +31,37 @@
     virtual void closeIdle(Nanos unusedFor) = 0;
 };
 
-// A command as a protocol brings it: name is its id as it was given.
+// How a body is to be understood by what runs it.
+enum class Form {
+    Plain,  // the command's own bytes
+    Scgi    // a whole SCGI request, and the result a whole reply
+};
+
+// A command as a protocol brings it: name is its id as it was given; answers go to the door it came by, the
+// first one where none is named.
 struct Arrival {
     Command command;
     std::string name, body;
+    Form form = Form::Plain;
+    std::uint64_t subject = 0;  // what it is about, for those that route by it
+    Door* from = nullptr;
+};
+
+// What a run is started with; due: when nobody waits for it any more, on the Unix clock.
+struct Run {
+    const std::string& name;
+    int profile;
+    std::string_view body;
+    Form form;
+    std::uint64_t subject;
+    Nanos due;
 };
 
 // The link to what runs commands.
 class Runs {
 public:
     virtual ~Runs() = default;
-    virtual void start(const std::string& name, int profile, std::string_view body) = 0;
+    virtual void start(const Run& run) = 0;
     virtual void halt(const std::string& name) = 0;
     virtual void supply(const std::string& name, std::string_view reply) = 0;
     virtual void askGauges() = 0;
@@ -63,7 +83,8 @@
     Backend(net::Loop& loop, const StartTerms& terms, std::size_t mostBytes, report::Log& log,
             report::Counters& counters);
 
-    void joinLinks(Door& door, Runs& runs, Calls& calls) { door_ = &door, runs_ = &runs, calls_ = &calls; }
+    void joinLinks(Door& door, Runs& runs, Calls& calls) { doors_ = {&door}, runs_ = &runs, calls_ = &calls; }
+    void alsoDoor(Door& door) { doors_.push_back(&door); }
     void onHealth(std::function<void(bool)> told) { healthTold_ = std::move(told); }
 
     // From the door.
@@ -98,7 +119,10 @@
 private:
     struct Owned {
         std::string name, body, callBody, supplied;
-        Nanos suppliedAt{0};
+        Nanos suppliedAt{0}, due{0};
+        Door* door = nullptr;
+        std::uint64_t subject = 0;
+        Form form = Form::Plain;
         int profile = 0;
         bool answered = false, left = false, running = false, calling = false;
         std::size_t bytes = 0;  // counted for it
@@ -149,6 +173,7 @@
     };
 
     void carryOut(const Decision& decision);
+    void startRun(const Owned& owned);
     void answered(Table::iterator at, report::Count kind);
     void dropIfDone(Table::iterator at);
     void ring();
@@ -158,7 +183,7 @@
     report::Log& log_;
     report::Counters& counters_;
     net::Timer alarm_;
-    Door* door_ = nullptr;
+    std::vector<Door*> doors_;
     Runs* runs_ = nullptr;
     Calls* calls_ = nullptr;
     std::function<void(bool)> healthTold_;
--- /dev/null
+++ b/src/fronts/scgi/front.h
@@ -0,0 +1,93 @@
+// The SCGI front: kiosks and gateways bring commands, one on a connection. Each is read in bounded memory and
+// time, named by its route, and answered once; then its connection is closed.
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include "backend/backend.h"
+#include "decide/routes/routes.h"
+#include "net/connection.h"
+#include "scgi/message.h"
+
+namespace cottonwing::fronts {
+
+// What a route says of a command. Names of headers are as CGI has them (HTTP_X_CUSTOMER); empty: not read.
+struct Meaning {
+    int profile = 0;
+    std::string subject;  // a `:name` of the path, or a header
+    std::string customerHeader;
+    std::string group;
+};
+
+struct ScgiFrontTerms {
+    net::Address listen;
+    scgi::Bounds bounds;
+    Nanos headWithin{std::chrono::seconds(2)};   // from the connection to the whole head
+    Nanos bodyWithin{std::chrono::seconds(10)};  // from there to the whole body
+    Nanos takesWithin{std::chrono::seconds(5)};  // an answer that nobody takes for so long is dropped
+    std::size_t connections = 512;
+    std::size_t bytes = 32 << 20;  // in rings and bodies that are not whole yet
+    std::vector<Meaning> meanings;
+    std::map<std::string, int, std::less<>> customers;
+};
+
+struct ScgiFrontCounts {
+    std::uint64_t opened = 0, whole = 0, badRequests = 0, slow = 0, noRoute = 0, noRoom = 0, left = 0,
+                  handled = 0, bounced = 0, scrapped = 0, cutAtEnd = 0;
+};
+
+class ScgiFront : public backend::Door {
+public:
+    ScgiFront(net::Loop& loop, ScgiFrontTerms terms, decide::Routes routes,
+              std::vector<ProfileTerms> profiles, std::uint64_t seed, backend::Backend& backend,
+              report::Log& log);
+    ~ScgiFront() override;
+
+    void handled(CommandId id, std::string_view result) override;
+    void bounced(CommandId id, Nanos comeBack, bool nowhereElse) override;
+    void scrapped(CommandId id) override;
+    void unknown(CommandId id) override { scrapped(id); }
+    void closeIdle(Nanos) override {}  // no connection is kept here
+
+    // Nothing new is accepted; what is being read goes on, and the module decides what it is worth.
+    void sendAway();
+    // What is not whole by now is answered: it can't be any more.
+    void lastCall();
+    std::size_t connections() const { return lines_.size(); }
+    const ScgiFrontCounts& counts() const { return counts_; }
+    int port() const { return port_; }
+
+private:
+    struct Line;
+    void accept(uv_stream_t* listener);
+    void whole(Line& line);
+    std::string take(Line& line);
+    void refuse(Line& line, int status, const char* letters, const std::string& why);
+    void answer(CommandId id, const std::string& bytes);
+    void close(Line& line);
+    void tend();
+
+    net::Loop& loop_;
+    const ScgiFrontTerms terms_;
+    const decide::Routes routes_;
+    const std::vector<ProfileTerms> profiles_;
+    const std::shared_ptr<net::Total> total_;
+    std::mt19937_64 chance_;
+    backend::Backend& backend_;
+    report::Log& log_;
+    ScgiFrontCounts counts_;
+    std::list<std::unique_ptr<Line>> lines_;     // emptied by answers and ends
+    std::vector<std::unique_ptr<Line>> gone_;    // emptied by the next look
+    std::unordered_map<CommandId, Line*> open_;  // emptied by answers and ends
+    std::size_t bodies_ = 0;                     // bytes of bodies that are not whole
+    int port_ = 0;
+    net::Timer tend_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace cottonwing::fronts
--- a/src/lab/audit/books.cpp
+++ b/src/lab/audit/books.cpp
@@ -89,6 +89,12 @@
     book(at->second);
 }
 
+bool Books::waits(const std::string& trace) const {
+    const std::lock_guard hold(guard_);
+    const auto at = tries_.find(trace);
+    return at != tries_.end() && at->second.waits;
+}
+
 double Books::memoryKb(std::size_t instance) const {
     const std::lock_guard hold(guard_);
     const auto at = memory_.find(instance);
--- a/src/lab/audit/books.h
+++ b/src/lab/audit/books.h
@@ -47,6 +47,7 @@
 
     std::vector<Breach> breaches() const;
     std::array<std::uint64_t, kRules> counts() const;
+    bool waits(const std::string& trace) const;  // its caller still waits for an answer to that try
     double memoryKb(std::size_t instance) const;
     double handledWork() const;  // seconds on cores that handled commands were worth
     std::size_t entries() const;
--- /dev/null
+++ b/src/lab/emulate/scgi_server.cpp
@@ -0,0 +1,119 @@
+#include "lab/emulate/scgi_server.h"
+
+namespace cottonwing::lab {
+
+using namespace std::chrono_literals;
+
+struct ScgiServer::Line : net::Owner, std::enable_shared_from_this<ScgiServer::Line> {
+    explicit Line(ScgiServer& theServer) : server(theServer), reader({65536, 1 << 20}) {}
+    void arrived(net::Connection& from) override {
+        const auto self = shared_from_this();
+        if (server.terms_.fault == ScgiFault::Early && !std::exchange(early, true)) {
+            server.answer(*this);
+            return;
+        }
+        while (connection && !from.input().empty()) {
+            const std::string_view piece = from.input().front();
+            reader.read(piece);
+            from.input().drop(piece.size());
+            if (reader.state() == scgi::RequestReader::State::Bad) return server.end(*this);
+            if (reader.state() == scgi::RequestReader::State::Whole) return server.whole(*this);
+        }
+    }
+    void ended(net::Connection&, net::ConnectionEnd) override {
+        if (!answered) ++server.left_;
+        server.end(*this);
+    }
+    ScgiServer& server;
+    scgi::RequestReader reader;
+    std::unique_ptr<net::Connection> connection;
+    bool answered = false, serving = false, early = false, closes = false;
+};
+
+ScgiServer::ScgiServer(net::Loop& loop, const net::Address& at, ScgiServerTerms terms)
+    : loop_(loop), host_(at.host), terms_(terms), pace_(loop, [this] { pump(); }) {
+    listener_ = std::make_unique<net::Listener>(
+        loop, at,
+        [this](uv_stream_t* listener) {
+            auto line = std::make_shared<Line>(*this);
+            line->connection.reset(new net::Connection(loop_, listener, *line, {1 << 20, 1 << 20}));
+            lines_.push_back(std::move(line));
+        },
+        [] { return false; });
+}
+
+ScgiServer::~ScgiServer() = default;
+
+void ScgiServer::end(Line& line) {
+    const auto self = line.shared_from_this();
+    if (std::exchange(line.serving, false)) --serving_;
+    if (line.connection) line.connection->writeLast();
+    line.connection.reset();
+    lines_.remove(self);
+    pace_.ringAt(steadyNow());
+}
+
+void ScgiServer::whole(Line& line) {
+    ++requests_;
+    lastHeaders_ = line.reader.headers();
+    lastBody_ = line.reader.body();
+    if (const auto trace = scgi::headerOf(lastHeaders_, "HTTP_X_TRACE")) ++runs_[std::string(*trace)];
+    if (terms_.fault == ScgiFault::Silent) return;
+    if (terms_.fault == ScgiFault::Breaks) return end(line);
+    if (terms_.fault == ScgiFault::FailsFast) return answer(line);
+    waiting_.push_back(line.weak_from_this());
+    pump();
+}
+
+void ScgiServer::pump() {
+    const Nanos now = steadyNow();
+    while (!due_.empty() && due_.begin()->first <= now) {
+        const auto line = due_.begin()->second.lock();
+        due_.erase(due_.begin());
+        if (line && line->connection) answer(*line);
+    }
+    while (!waiting_.empty() && serving_ < terms_.slots) {
+        const auto line = waiting_.front().lock();
+        waiting_.pop_front();
+        if (!line || !line->connection) continue;
+        line->serving = true;
+        ++serving_;
+        if (terms_.takes == 0ns)
+            answer(*line);
+        else
+            due_.emplace(now + terms_.takes, line);
+    }
+    // What has its answer is closed once the system has taken it.
+    const auto all = std::vector<std::shared_ptr<Line>>(lines_.begin(), lines_.end());
+    bool more = false;
+    for (const auto& line : all) {
+        if (!line->closes || !line->connection) continue;
+        if (line->connection->output().empty())
+            end(*line);
+        else
+            more = true;
+    }
+    if (more)
+        pace_.ringAt(now + 1ms);
+    else if (!due_.empty())
+        pace_.ringAt(due_.begin()->first);
+}
+
+void ScgiServer::answer(Line& line) {
+    line.answered = true;
+    if (std::exchange(line.serving, false)) --serving_;
+    const std::string body =
+        "answer to " + std::string(scgi::headerOf(line.reader.headers(), "HTTP_X_TRACE").value_or("nobody"));
+    const std::string whole = scgi::writeReply(200, {{"Content-Type", "text/plain"}}, body);
+    std::string bytes = whole;
+    if (terms_.fault == ScgiFault::Half) bytes = whole.substr(0, whole.size() - body.size() / 2);
+    if (terms_.fault == ScgiFault::Twice) bytes = whole + whole;
+    if (terms_.fault == ScgiFault::BadStatus) bytes = "Status: fine\r\n\r\n" + body;
+    if (terms_.fault == ScgiFault::TooMuch) bytes = whole + "more";
+    if (terms_.fault == ScgiFault::FailsFast) bytes = scgi::writeReply(503, {}, "not now");
+    line.connection->send(bytes);
+    line.closes = true;
+    pace_.ringAt(steadyNow());
+}
+
+}  // namespace cottonwing::lab
--- /dev/null
+++ b/src/lab/emulate/scgi_server.h
@@ -0,0 +1,69 @@
+// An SCGI server on loopback: answers each request after a set time on so many at once, with the faults it is
+// told to have.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "lab/pace.h"
+#include "net/connection.h"
+#include "scgi/message.h"
+
+namespace cottonwing::lab {
+
+enum class ScgiFault {
+    None,
+    Silent,     // accepts and says nothing
+    Half,       // ends in the middle of its answer
+    Early,      // answers before it has read the request
+    Twice,      // two answers
+    BadStatus,  // a status line that is none
+    TooMuch,    // more than it said
+    FailsFast,  // 503 at once: a black hole that attracts callers
+    Breaks      // closes the connection once it has read
+};
+
+struct ScgiServerTerms {
+    Nanos takes{0};
+    int slots = 1000;  // requests served at once; the others wait
+    ScgiFault fault = ScgiFault::None;
+};
+
+class ScgiServer {
+public:
+    ScgiServer(net::Loop& loop, const net::Address& at, ScgiServerTerms terms);
+    ~ScgiServer();
+    net::Address address() const { return {host_, listener_->port()}; }
+    void set(ScgiServerTerms terms) { terms_ = terms; }
+    std::uint64_t requests() const { return requests_; }
+    std::uint64_t left() const { return left_; }  // askers that closed before their answer
+    const std::map<std::string, int>& runs() const { return runs_; }  // by HTTP_X_TRACE; never emptied
+    const scgi::Headers& lastHeaders() const { return lastHeaders_; }
+    const std::string& lastBody() const { return lastBody_; }
+
+private:
+    struct Line;
+    void whole(Line& line);
+    void answer(Line& line);
+    void end(Line& line);
+    void pump();
+
+    net::Loop& loop_;
+    const std::string host_;
+    ScgiServerTerms terms_;
+    std::list<std::shared_ptr<Line>> lines_;         // emptied by the ends of connections
+    std::multimap<Nanos, std::weak_ptr<Line>> due_;  // emptied by time
+    std::deque<std::weak_ptr<Line>> waiting_;        // for a slot
+    std::map<std::string, int> runs_;
+    scgi::Headers lastHeaders_;
+    std::string lastBody_;
+    std::uint64_t requests_ = 0, left_ = 0;
+    int serving_ = 0;
+    Pace pace_;
+    std::unique_ptr<net::Listener> listener_;
+};
+
+}  // namespace cottonwing::lab
--- a/src/lab/emulate/worker_pool.cpp
+++ b/src/lab/emulate/worker_pool.cpp
@@ -1,5 +1,6 @@
 #include "lab/emulate/worker_pool.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -64,13 +65,14 @@
             older_ = std::move(link_);  // a new link replaces the one before it
             if (older_) older_->connection.reset(), older_->closing = true;
             link_ = std::move(link);
+            rest_.clear();
         },
         [] { return false; });
 }
 
 void WorkerPool::write(const std::string& line) {
     if (!link_ || link_->closing || !link_->connection) return;
-    link_->connection->send(line);
+    link_->connection->send(std::exchange(rest_, "") + line);
 }
 
 void WorkerPool::notice(std::string line) {
@@ -79,6 +81,11 @@
     if (waitsBound_ || !boundOnce_) return;
     ++pieces_;
     if (terms_.twiceEvery > 0 && pieces_ % static_cast<std::uint64_t>(terms_.twiceEvery) == 0) write(line);
+    if (terms_.piecesEvery > 0 && pieces_ % static_cast<std::uint64_t>(terms_.piecesEvery) == 0) {
+        // The rest follows with the next look, a few milliseconds on: the reader has half a line until then.
+        write(line.substr(0, line.size() / 2));
+        return void(rest_ += line.substr(line.size() / 2));
+    }
     write(line);
 }
 
@@ -194,6 +201,7 @@
     if (now < upAt_) return pace_.ringAt(upAt_);
     if (waitsBound_) sayBound(*std::exchange(waitsBound_, std::nullopt));
     for (const std::uint64_t id : cores_.ended(now)) segmentEnded(id);
+    if (!rest_.empty() && now >= lookAt_) write("");
     watch(now);
     Nanos next = lookAt_;
     if (const auto end = cores_.nextEnd()) next = std::min(next, *end);
@@ -204,6 +212,7 @@
 void WorkerPool::watch(Nanos now) {
     if (now < lookAt_) return;
     lookAt_ = now + kWatch;
+    if (terms_.endsAtCalls) endWhatIsOver();
     crowd_.emplace_back(now, static_cast<double>(cores_.running()));
     crowdSum_ += crowd_.back().second;
     while (crowd_.front().first < now - terms_.fallOver)
@@ -214,6 +223,19 @@
         books_.fellOver(instance_, "a mean crowd of " + std::to_string(mean) + " on its cores");
 }
 
+// Those at a call whose command is over, as the pool of the platform ends them.
+void WorkerPool::endWhatIsOver() {
+    std::vector<std::uint64_t> over;
+    for (const auto& [id, job] : jobs_)
+        if (job.blocked && !books_.waits(job.name)) over.push_back(id);
+    for (const std::uint64_t id : over) finish(id, "halted", "");
+}
+
+std::size_t WorkerPool::atCalls() const {
+    return static_cast<std::size_t>(
+        std::count_if(jobs_.begin(), jobs_.end(), [](const auto& entry) { return entry.second.blocked; }));
+}
+
 void WorkerPool::slow(double factor) {
     cores_.setSlow(factor, steadyNow());
     pump();
--- a/src/lab/emulate/worker_pool.h
+++ b/src/lab/emulate/worker_pool.h
@@ -20,6 +20,8 @@
     Nanos fallOver{std::chrono::milliseconds(1500)};
     Nanos startsAfter{0};  // until it is up
     bool cold = false;
+    bool endsAtCalls =
+        true;  // a run at a call ends by itself when its command is over; else it waits there to be told
     int piecesEvery = 0;  // every so many notices is written in two pieces
     int twiceEvery = 0;   // is said twice
 };
@@ -38,6 +40,7 @@
     void comeBack(bool cold);
 
     std::size_t onCores() const { return cores_.running(); }
+    std::size_t atCalls() const;
     std::size_t inHand() const { return jobs_.size(); }
     double workDone() const { return cores_.workDone(); }
     std::uint64_t spawns() const { return spawns_; }
@@ -61,6 +64,7 @@
     void sayBound(std::uint64_t after);
     void pump();
     void watch(Nanos now);
+    void endWhatIsOver();
     void listen();
 
     net::Loop& loop_;
@@ -73,6 +77,7 @@
     std::unordered_map<std::string, std::uint64_t> names_;       // of the jobs
     std::deque<std::pair<std::uint64_t, std::string>> notices_;  // the last 4,000
     std::uint64_t lastNotice_ = 0, nextJob_ = 1, spawns_ = 0, pieces_ = 0;
+    std::string rest_;  // of a line that was written in two pieces
     std::optional<std::uint64_t> waitsBound_;
     Nanos upAt_{0}, upSince_{0}, lookAt_{0};
     std::deque<std::pair<Nanos, double>> crowd_;  // of the last fallOver; emptied by time
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -111,6 +111,7 @@
         property(inner, "fall-multiple", pool.fallMultiple, kdl::number);
         property(inner, "fall-over", pool.fallOver, kdl::duration);
         property(inner, "starts-after", pool.startsAfter, kdl::duration);
+        property(inner, "ends-at-calls", pool.endsAtCalls, kdl::truth);
         property(inner, "pieces-every", pool.piecesEvery, wholeFrom(1, 1000000));
         property(inner, "twice-every", pool.twiceEvery, wholeFrom(1, 1000000));
         inner.done();
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -11,6 +11,7 @@
 
 #include "lab/compare.h"
 #include "lab/emulate/answering.h"
+#include "lab/emulate/scgi_server.h"
 #include "lab/experiment.h"
 #include "lab/report.h"
 
@@ -248,13 +249,29 @@
     return 0;
 }
 
-int answer(const std::string& at, const AnsweringTerms& terms) {
+net::Address addressOf(const std::string& at) {
     const std::size_t colon = at.rfind(':');
     if (colon == at.npos)
         throw std::runtime_error("--listen: an address such as 127.0.0.1:8080 was expected, not '" + at +
                                  "'");
+    return {at.substr(0, colon), std::atoi(at.c_str() + colon + 1)};
+}
+
+int scgiServers(const std::vector<std::string>& each, const ScgiServerTerms& terms) {
+    net::Loop loop;
+    std::vector<std::unique_ptr<ScgiServer>> servers;
+    for (const std::string& at : each)
+        servers.push_back(std::make_unique<ScgiServer>(loop, addressOf(at), terms));
+    net::Signal onInt(loop, SIGINT, [&] { loop.stop(); }), onTerm(loop, SIGTERM, [&] { loop.stop(); });
+    std::cout << servers.size() << " SCGI servers" << std::endl;
+    loop.run();
+    for (const auto& server : servers) std::cout << server->requests() << " requests" << std::endl;
+    return 0;
+}
+
+int answer(const std::string& at, const AnsweringTerms& terms) {
     net::Loop loop;
-    Answering answering(loop, {at.substr(0, colon), std::atoi(at.c_str() + colon + 1)}, terms);
+    Answering answering(loop, addressOf(at), terms);
     net::Signal onInt(loop, SIGINT, [&] { loop.stop(); }), onTerm(loop, SIGTERM, [&] { loop.stop(); });
     std::cout << "answering on " << answering.address().host << ":" << answering.address().port << std::endl;
     loop.run();
@@ -295,6 +312,14 @@
     answers->add_option("--listen", listen, "where to listen");
     answers->add_option("--takes-ms", takes, "milliseconds that an answer takes");
     answers->footer("Example:\n  cottonwing_lab answer --listen 127.0.0.1:8080 --takes-ms 5");
+    std::vector<std::string> listens;
+    CLI::App* const scgis = app.add_subcommand(
+        "scgi", "SCGI servers that answer every request, to stand behind cottonwing serve");
+    scgis->add_option("--listen", listens, "where to listen; may be given several times")->required();
+    scgis->add_option("--takes-ms", takes, "milliseconds that an answer takes");
+    scgis->footer(
+        "Example:\n  cottonwing_lab scgi --listen 127.0.0.1:9001 --listen 127.0.0.1:9002 --takes-ms 5");
+
     RunWishes wishes;
     CLI::App* const runs =
         app.add_subcommand("run", "play an experiment: backends, the world around them, load and troubles");
@@ -330,6 +355,11 @@
         if (reports->parsed()) return report(folder);
         if (compares->parsed()) return compare(folder, other);
         if (draws->parsed()) return drawTrace(file, to);
+        if (scgis->parsed()) {
+            ScgiServerTerms scgi;
+            scgi.takes = Nanos(static_cast<std::int64_t>(takes * 1e6));
+            return scgiServers(listens, scgi);
+        }
         answering.takes = Nanos(static_cast<std::int64_t>(takes * 1e6));
         return answer(listen, answering);
     } catch (const kdl::Problem& problem) {
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -31,9 +31,9 @@
     if (size >= 1e6)
         std::snprintf(text, sizeof text, "%.3gM", value / 1e6);
     else if (size >= 1e4)
-        std::snprintf(text, sizeof text, "%.3gk", value / 1e3);
+        std::snprintf(text, sizeof text, "%.4gk", value / 1e3);
     else
-        std::snprintf(text, sizeof text, "%.3g", value);
+        std::snprintf(text, sizeof text, "%.4g", value);
     return text;
 }
 
@@ -139,7 +139,8 @@
             text(across(part), kHeight - 8, "middle", words);
         }
     } else {
-        for (double value = std::ceil(left), step = stepOf(right - left, 8); value <= right; value += step)
+        for (double step = stepOf(right - left, 8), value = std::ceil(left / step) * step; value <= right;
+             value += step)
             text(across(value), kHeight - 8, "middle", shortly(value) + (value + step > right ? " s" : ""));
     }
     text(4, kTop + 4, "start", plot.unit);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -333,7 +333,9 @@
         }
         overdue_.erase({in.answerBy, at->first});
         atCalls_.erase({in.due, at->first});
-        if (in.phase == Phase::Running && terms_.halting != Halting::Never) out_->halt(at->first);
+        // At a call too: nothing but this tells what runs commands that one is over, and one that waits there
+        // for ever keeps a place of those that may run.
+        if (terms_.halting != Halting::Never) out_->halt(at->first);
     }
 
     void runEnded(const Result& result) {
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -43,8 +43,8 @@
     connection_->send(bindLine(last_));
 }
 
-void PoolLink::start(const std::string& name, int profile, std::string_view body) {
-    say(startLine(name, profiles_[static_cast<std::size_t>(profile)], body));
+void PoolLink::start(const backend::Run& run) {
+    say(startLine(run.name, profiles_[static_cast<std::size_t>(run.profile)], run.body));
 }
 void PoolLink::halt(const std::string& name) { say(haltLine(name)); }
 void PoolLink::supply(const std::string& name, std::string_view reply) { say(supplyLine(name, reply)); }
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -22,7 +22,7 @@
              std::vector<std::string> profiles, std::vector<std::string> gauges, std::uint64_t seed,
              backend::Backend& backend, report::Log& log, report::Counters& counters);
 
-    void start(const std::string& name, int profile, std::string_view body) override;
+    void start(const backend::Run& run) override;
     void halt(const std::string& name) override;
     void supply(const std::string& name, std::string_view reply) override;
     void askGauges() override;
--- /dev/null
+++ b/src/scgi/message.cpp
@@ -0,0 +1,236 @@
+#include "scgi/message.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <unordered_set>
+
+namespace cottonwing::scgi {
+
+namespace {
+
+constexpr std::size_t kMostDigits = 9;
+
+std::optional<std::size_t> lengthOf(std::string_view text) {
+    std::size_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+    return value;
+}
+
+std::string lower(std::string_view text) {
+    std::string result(text);
+    for (char& byte : result) byte = static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
+    return result;
+}
+
+std::string_view trimmed(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t' || text.back() == '\r'))
+        text.remove_suffix(1);
+    return text;
+}
+
+}  // namespace
+
+std::optional<std::string_view> headerOf(const Headers& headers, std::string_view name) {
+    for (const auto& [key, value] : headers)
+        if (key == name) return value;
+    return std::nullopt;
+}
+
+int statusOf(Wrong wrong) {
+    switch (wrong) {
+        case Wrong::HeadTooLong:
+            return 431;
+        case Wrong::NoLength:
+            return 411;
+        case Wrong::BodyTooLong:
+            return 413;
+        default:
+            return 400;
+    }
+}
+
+const char* nameOf(Wrong wrong) {
+    static constexpr const char* kNames[] = {
+        "none",       "no netstring",  "head too long", "head cut",     "no CONTENT_LENGTH",
+        "bad length", "body too long", "no SCGI 1",     "header twice", "bytes behind the body"};
+    return kNames[static_cast<int>(wrong)];
+}
+
+std::size_t RequestReader::read(std::string_view bytes) {
+    const std::size_t all = bytes.size();
+    while (state_ == State::Head && !bytes.empty()) {
+        if (!size_) {
+            const char byte = bytes.front();
+            bytes.remove_prefix(1);
+            if (byte == ':' && digits_ > 0) {
+                size_ = lengthOf(head_);
+                head_.clear();
+                if (*size_ > bounds_.head) bad(Wrong::HeadTooLong);
+            } else if (!std::isdigit(static_cast<unsigned char>(byte))) {
+                bad(Wrong::NoNetstring);
+            } else if (++digits_ > kMostDigits) {
+                bad(Wrong::HeadTooLong);
+            } else {
+                head_.push_back(byte);
+            }
+            continue;
+        }
+        const std::size_t part = std::min(bytes.size(), *size_ + 1 - head_.size());
+        head_.append(bytes.substr(0, part));
+        bytes.remove_prefix(part);
+        if (head_.size() == *size_ + 1) readHead();
+    }
+    if (state_ == State::Body) {
+        const std::size_t part = std::min(bytes.size(), length_ - body_.size());
+        body_.append(bytes.substr(0, part));
+        bytes.remove_prefix(part);
+        if (body_.size() == length_) state_ = State::Whole;
+    }
+    return all - bytes.size();
+}
+
+void RequestReader::readHead() {
+    if (head_.back() != ',') return bad(Wrong::HeadCut);
+    std::string_view rest(head_.data(), head_.size() - 1);
+    std::unordered_set<std::string_view> names;
+    while (!rest.empty()) {
+        const std::size_t name = rest.find('\0');
+        if (name == rest.npos || name == 0) return bad(Wrong::HeadCut);
+        const std::size_t value = rest.find('\0', name + 1);
+        if (value == rest.npos) return bad(Wrong::HeadCut);
+        if (!names.insert(rest.substr(0, name)).second) return bad(Wrong::TwiceNamed);
+        headers_.emplace_back(rest.substr(0, name), rest.substr(name + 1, value - name - 1));
+        rest.remove_prefix(value + 1);
+    }
+    if (headers_.empty() || headers_.front().first != "CONTENT_LENGTH") return bad(Wrong::NoLength);
+    const auto length = lengthOf(headers_.front().second);
+    if (!length) return bad(headers_.front().second.empty() ? Wrong::NoLength : Wrong::BadLength);
+    if (headerOf(headers_, "SCGI") != std::string_view("1")) return bad(Wrong::NotScgi);
+    if (*length > bounds_.body) return bad(Wrong::BodyTooLong);
+    length_ = *length;
+    head_.clear();
+    head_.shrink_to_fit();
+    state_ = length_ == 0 ? State::Whole : State::Body;
+}
+
+std::string writeRequest(const Headers& headers, std::string_view body) {
+    std::string head;
+    const auto add = [&head](std::string_view name, std::string_view value) {
+        head.append(name).push_back('\0');
+        head.append(value).push_back('\0');
+    };
+    add("CONTENT_LENGTH", std::to_string(body.size()));
+    add("SCGI", "1");
+    for (const auto& [name, value] : headers)
+        if (name != "CONTENT_LENGTH" && name != "SCGI") add(name, value);
+    std::string all = std::to_string(head.size());
+    all.reserve(all.size() + head.size() + body.size() + 2);
+    all.push_back(':');
+    all.append(head).push_back(',');
+    return all.append(body);
+}
+
+ReplyReader::State ReplyReader::read(std::string_view bytes) {
+    if (state_ == State::Bad || bytes.empty()) return state_;
+    // A second answer, or more than it said that it would send.
+    if (state_ == State::Whole) return state_ = State::Bad;
+    if (reply_.head.size() + reply_.body.size() + bytes.size() > most_) return state_ = State::Bad;
+    if (headDone_) {
+        reply_.body.append(bytes);
+    } else {
+        const std::size_t before = reply_.head.size();
+        reply_.head.append(bytes);
+        // The empty line may lie across the pieces.
+        std::size_t end = std::string::npos;
+        for (std::size_t at = before < 3 ? 0 : before - 3; at < reply_.head.size(); ++at) {
+            if (reply_.head[at] != '\n') continue;
+            std::size_t next = at + 1;
+            if (next < reply_.head.size() && reply_.head[next] == '\r') ++next;
+            if (next < reply_.head.size() && reply_.head[next] == '\n') {
+                end = next + 1;
+                break;
+            }
+        }
+        if (end == std::string::npos) return state_;
+        reply_.body = reply_.head.substr(end);
+        reply_.head.resize(end);
+        headDone_ = true;
+        if (!readHead()) return state_ = State::Bad;
+    }
+    if (length_ && reply_.body.size() > *length_) return state_ = State::Bad;
+    if (length_ && reply_.body.size() == *length_) state_ = State::Whole;
+    return state_;
+}
+
+bool ReplyReader::readHead() {
+    std::string_view rest = reply_.head;
+    bool any = false;
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('\n');
+        const std::string_view line = trimmed(rest.substr(0, end));
+        rest.remove_prefix(end == rest.npos ? rest.size() : end + 1);
+        if (line.empty()) continue;
+        const std::size_t colon = line.find(':');
+        if (colon == line.npos || colon == 0) return false;
+        const std::string name = lower(line.substr(0, colon));
+        const std::string_view value = trimmed(line.substr(colon + 1));
+        if (name == "status") {
+            const std::string_view code = value.substr(0, 3);
+            const auto [at, error] = std::from_chars(code.data(), code.data() + code.size(), reply_.status);
+            if (code.size() != 3 || error != std::errc() || at != code.data() + 3 || reply_.status < 100 ||
+                reply_.status > 599 || (value.size() > 3 && value[3] != ' '))
+                return false;
+        } else if (name == "content-length") {
+            const auto length = lengthOf(value);
+            if (!length || length_) return false;
+            length_ = length;
+        }
+        reply_.headers.emplace_back(name, value);
+        any = true;
+    }
+    return any;
+}
+
+ReplyReader::State ReplyReader::end() {
+    if (state_ != State::Partial) return state_;
+    return state_ = headDone_ && !length_ ? State::Whole : State::Bad;
+}
+
+const char* reasonOf(int status) {
+    switch (status) {
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 408:
+            return "Request Timeout";
+        case 411:
+            return "Length Required";
+        case 413:
+            return "Content Too Large";
+        case 431:
+            return "Request Header Fields Too Large";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        case 504:
+            return "Gateway Timeout";
+        default:
+            return "Status";
+    }
+}
+
+std::string writeReply(int status, const Headers& headers, std::string_view body) {
+    std::string all = "Status: " + std::to_string(status) + " " + reasonOf(status) + "\r\n";
+    for (const auto& [name, value] : headers) all.append(name).append(": ").append(value).append("\r\n");
+    all.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+    return all.append(body);
+}
+
+}  // namespace cottonwing::scgi
--- /dev/null
+++ b/src/scgi/message.h
@@ -0,0 +1,103 @@
+// The bytes of SCGI: requests (a netstring of headers, then the body), and replies (CGI's headers, then the
+// body, up to the end of the connection). Pure; read as they come in any pieces, in bounded memory.
+// Sources: the SCGI specification as published (protocol "1"), RFC 3875 for the replies.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cottonwing::scgi {
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+// Nothing where there is none of that name.
+std::optional<std::string_view> headerOf(const Headers& headers, std::string_view name);
+
+// What is wrong with a request, and how its sender is told.
+enum class Wrong {
+    None,
+    NoNetstring,   // 400: it does not begin with a length in digits
+    HeadTooLong,   // 431
+    HeadCut,       // 400: no comma where the netstring ends, or no zero where a header does
+    NoLength,      // 411: CONTENT_LENGTH is not the first header
+    BadLength,     // 400: CONTENT_LENGTH is no number
+    BodyTooLong,   // 413
+    NotScgi,       // 400: no header SCGI with the value 1
+    TwiceNamed,    // 400: a header stands there twice
+    BodyFollowed,  // 400: bytes behind the body
+};
+int statusOf(Wrong wrong);
+const char* nameOf(Wrong wrong);
+
+struct Bounds {
+    std::size_t head = 8192, body = 65536;  // bytes
+};
+
+class RequestReader {
+public:
+    explicit RequestReader(const Bounds& bounds) : bounds_(bounds) {}
+    enum class State { Head, Body, Whole, Bad };
+    // Takes what it can use of the bytes, and says how many that were. After Whole or Bad it takes none.
+    std::size_t read(std::string_view bytes);
+    State state() const { return state_; }
+    Wrong wrong() const { return wrong_; }
+    const Headers& headers() const { return headers_; }
+    const std::string& body() const { return body_; }
+    std::string takeBody() { return std::move(body_); }
+    std::size_t length() const { return length_; }                    // of the body, once the head is there
+    std::size_t held() const { return head_.size() + body_.size(); }  // bytes that it keeps
+
+private:
+    void bad(Wrong wrong) { state_ = State::Bad, wrong_ = wrong, head_.clear(), body_.clear(); }
+    void readHead();
+
+    Bounds bounds_;
+    State state_ = State::Head;
+    Wrong wrong_ = Wrong::None;
+    std::string head_, body_;
+    std::optional<std::size_t> size_;  // of the head, once its digits are there
+    std::size_t digits_ = 0, length_ = 0;
+    Headers headers_;
+};
+
+// CONTENT_LENGTH and SCGI come first, whatever stands in headers; those there with these names are left out.
+std::string writeRequest(const Headers& headers, std::string_view body);
+
+struct Reply {
+    int status = 200;
+    Headers headers;   // names in lower case
+    std::string head;  // as it came, with the empty line
+    std::string body;
+};
+
+// A server's reply. What it says of its length is held against what comes.
+class ReplyReader {
+public:
+    explicit ReplyReader(std::size_t most) : most_(most) {}
+    enum class State { Partial, Whole, Bad };
+    State read(std::string_view bytes);
+    // The connection has ended in order: whole, where nothing is missing. State::Bad else.
+    State end();
+    State state() const { return state_; }
+    bool begun() const { return !reply_.head.empty() || !reply_.body.empty(); }
+    const Reply& reply() const { return reply_; }
+    // All of it, as it came.
+    std::string bytes() const { return reply_.head + reply_.body; }
+
+private:
+    bool readHead();
+    std::size_t most_;
+    State state_ = State::Partial;
+    bool headDone_ = false;
+    std::optional<std::size_t> length_;
+    Reply reply_;
+};
+
+// A reply of our own.
+std::string writeReply(int status, const Headers& headers, std::string_view body);
+const char* reasonOf(int status);
+
+}  // namespace cottonwing::scgi
--- /dev/null
+++ b/src/serve/gateway.cpp
@@ -0,0 +1,122 @@
+#include "serve/gateway.h"
+
+#include <random>
+
+namespace cottonwing::serve {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Nanos kLastMoment = 60ms;  // before the process is killed, whatever is left
+constexpr Nanos kLastCall = 300ms;   // before it, what is still being read is answered
+
+ServeTerms seeded(ServeTerms terms) {
+    if (terms.seed == 0)
+        terms.seed = static_cast<std::uint64_t>(std::random_device()()) << 32 | std::random_device()();
+    terms.terms.seed = terms.seed;
+    return terms;
+}
+
+}  // namespace
+
+Gateway::Gateway(net::Loop& loop, ServeTerms terms, report::Log& log, report::Counters& counters)
+    : loop_(loop),
+      terms_(seeded(std::move(terms))),
+      log_(log),
+      counters_(counters),
+      backend_(loop, terms_.terms, terms_.shares.commandBytes, log, counters),
+      groups_(loop, terms_.groups, terms_.groupOf, terms_.terms.profiles, terms_.profileNames,
+              terms_.groupBounds, terms_.seed, backend_, log),
+      away_(loop,
+            [this] {
+                sentAway_ = true;
+                if (thrift_) thrift_->sendAway();
+                if (scgi_) scgi_->sendAway();
+            }),
+      lastCall_(loop,
+                [this] {
+                    if (scgi_) scgi_->lastCall();
+                }),
+      lastMoment_(loop, [this] { loop_.stop(); }) {
+    if (terms_.thrift)
+        thrift_ = std::make_unique<intake::Sidecars>(loop, *terms_.thrift, terms_.shares, terms_.names,
+                                                     terms_.terms.profiles, backend_, log, counters);
+    if (terms_.scgi) {
+        decide::Routes routes;
+        for (const decide::Route& route : terms_.routes)
+            if (const decide::Route* before = routes.add(route))
+                log.warn("routes",
+                         route.path +
+                             " is never taken: an earlier route has the same path and conditions as " +
+                             before->path);
+        scgi_ = std::make_unique<fronts::ScgiFront>(loop, *terms_.scgi, std::move(routes),
+                                                    terms_.terms.profiles, terms_.seed, backend_, log);
+    }
+    backend::Door& first = thrift_ ? static_cast<backend::Door&>(*thrift_) : *scgi_;
+    backend_.joinLinks(first, groups_, noCalls_);
+    if (thrift_ && scgi_) backend_.alsoDoor(*scgi_);
+    backend_.up(false, 0ns);
+    loop.onTurn([this] { turn(); });
+    log.info("serving", terms_.name + (thrift_ ? ", thrift on port " + std::to_string(thrift_->port()) : "") +
+                            (scgi_ ? ", scgi on port " + std::to_string(scgi_->port()) : ""));
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::leave() {
+    if (leaving_) return;
+    leaving_ = true;
+    backend_.leave(net::unixNow() + terms_.stopAfter);
+    away_.start(terms_.grace);
+    lastCall_.start(std::max(terms_.grace, terms_.stopAfter - kLastCall));
+    lastMoment_.start(terms_.stopAfter - kLastMoment);
+}
+
+void Gateway::readAgain(const std::string& path) {
+    ServeTerms next;
+    try {
+        next = readServe(path);
+    } catch (const kdl::Problem& problem) {
+        counters_.add(report::Count::ReloadsRefused);
+        return log_.error("reload", std::string("refused whole: ") + problem.what());
+    }
+    counters_.add(report::Count::Reloads);
+    const auto [added, removed] = groups_.change(next.groups);
+    log_.info("reload",
+              std::to_string(added) + " servers are new, " + std::to_string(removed) + " are left to end");
+    const auto names = [](const ServeTerms& terms) {
+        std::vector<std::string> all;
+        for (const auto& group : terms.groups) all.push_back(group.name);
+        return all;
+    };
+    if (names(next) != names(terms_) || next.profileNames != terms_.profileNames ||
+        next.routes.size() != terms_.routes.size())
+        log_.warn("reload", "groups, profiles and routes need a new start, the old ones stay");
+}
+
+void Gateway::print(std::ostream& out) const {
+    counters_.print(out);
+    const auto& runs = groups_.counts();
+    out << "groups: first=" << runs.first << " attempts=" << runs.attempts << " again=" << runs.again
+        << " refused=" << runs.refused << " broken=" << runs.broken << " timed-out=" << runs.timedOut
+        << " bad-replies=" << runs.badReplies << " said-failed=" << runs.saidFailed
+        << " checks=" << runs.checks << " flying=" << groups_.flying() << " waiting=" << groups_.waiting()
+        << std::endl;
+    if (!scgi_) return;
+    const auto& front = scgi_->counts();
+    out << "scgi: opened=" << front.opened << " whole=" << front.whole << " bad=" << front.badRequests
+        << " slow=" << front.slow << " no-route=" << front.noRoute << " no-room=" << front.noRoom
+        << " left=" << front.left << " handled=" << front.handled << " bounced=" << front.bounced
+        << " scrapped=" << front.scrapped << " cut-at-end=" << front.cutAtEnd << std::endl;
+}
+
+void Gateway::turn() {
+    backend_.turn();
+    const std::size_t there = (thrift_ ? thrift_->connections() : 0) + (scgi_ ? scgi_->connections() : 0);
+    if (!sentAway_ || backend_.unanswered() > 0 || there > 0) return;
+    log_.info("leaving", "nobody is left");
+    loop_.stop();
+}
+
+}  // namespace cottonwing::serve
--- /dev/null
+++ b/src/serve/gateway.h
@@ -0,0 +1,48 @@
+// A server before others: fronts, the owner of commands with its module, groups of servers behind; joined
+// from the operator's file, until it has left.
+#pragma once
+
+#include "intake/sidecars.h"
+#include "serve/terms.h"
+
+namespace cottonwing::serve {
+
+class Gateway {
+public:
+    Gateway(net::Loop& loop, ServeTerms terms, report::Log& log, report::Counters& counters);
+    ~Gateway();
+
+    // The notice to leave, as of the platform's program: all that was read is answered, and the loop stops
+    // when nobody is left, or at the last moment.
+    void leave();
+    // The file again: the groups' servers are taken at once; a file that can't be read is refused whole.
+    void readAgain(const std::string& path);
+    void print(std::ostream& out) const;
+
+    const backend::Backend& backend() const { return backend_; }
+    const upstreams::ScgiGroups& groups() const { return groups_; }
+    const fronts::ScgiFront* scgi() const { return scgi_.get(); }
+    const intake::Sidecars* thrift() const { return thrift_.get(); }
+
+private:
+    // Servers behind make their calls themselves.
+    struct NoCalls : backend::Calls {
+        void begin(CommandId, const std::string&, Nanos, std::string_view) override {}
+        void giveUp(CommandId) override {}
+    };
+    void turn();
+
+    net::Loop& loop_;
+    const ServeTerms terms_;
+    report::Log& log_;
+    report::Counters& counters_;
+    backend::Backend backend_;
+    NoCalls noCalls_;
+    upstreams::ScgiGroups groups_;
+    std::unique_ptr<intake::Sidecars> thrift_;
+    std::unique_ptr<fronts::ScgiFront> scgi_;
+    net::Timer away_, lastCall_, lastMoment_;
+    bool leaving_ = false, sentAway_ = false;
+};
+
+}  // namespace cottonwing::serve
--- /dev/null
+++ b/src/serve/terms.cpp
@@ -0,0 +1,298 @@
+#include "serve/terms.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace cottonwing::serve {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+template <typename T, typename Read>
+void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
+    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
+}
+auto wholeFrom(std::int64_t least, std::int64_t most) {
+    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
+}
+
+net::Address addressOf(const kdl::Value& value, int leastPort) {
+    const std::string& text = kdl::text(value);
+    const std::size_t colon = text.rfind(':');
+    net::Address address{text.substr(0, colon), 0};
+    sockaddr_in parsed{};
+    const char* const last = text.data() + text.size();
+    if (colon != text.npos) {
+        const auto [end, error] = std::from_chars(text.data() + colon + 1, last, address.port);
+        if (error == std::errc() && end == last && address.port >= leastPort && address.port < 65536 &&
+            uv_ip4_addr(address.host.c_str(), address.port, &parsed) == 0)
+            return address;
+    }
+    throw kdl::Problem(value.at, "'" + text + "' was found",
+                       "an address such as \"127.0.0.1:9000\" was expected");
+}
+
+const kdl::Value& need(kdl::Fields& in, const char* name) {
+    if (const kdl::Value* value = in.property(name)) return *value;
+    throw kdl::Problem(in.node().at, "'" + in.node().name + "' was found without '" + name + "='",
+                       "'" + std::string(name) + "=' was expected behind it");
+}
+
+// "board-item=1" as KDL has it: the properties of one node are conditions, all of them.
+decide::Route readRoute(kdl::Fields& in, const kdl::Node& node, fronts::Meaning& meaning,
+                        const launch::Names& names) {
+    decide::Route route;
+    const kdl::Value& path = in.argument(0, "a path such as /board/:hall");
+    route.path = kdl::text(path);
+    if (const auto wrong = decide::Routes::wrong(route.path))
+        throw kdl::Problem(path.at, "'" + route.path + "' was found", *wrong);
+    for (const kdl::Value* method : in.rest(1)) route.methods.push_back(kdl::text(*method));
+    const kdl::Value& profile = need(in, "profile");
+    const auto known = names.profiles.find(kdl::text(profile));
+    if (known == names.profiles.end()) {
+        std::string all;
+        for (const auto& [name, at] : names.profiles) all += (all.empty() ? "" : ", ") + name;
+        throw kdl::Problem(profile.at, "the profile '" + profile.text + "' was found",
+                           "one of " + all + " was expected");
+    }
+    meaning.profile = known->second;
+    property(in, "subject", meaning.subject, kdl::text);
+    property(in, "customer", meaning.customerHeader, kdl::text);
+    for (const kdl::Node* header : in.children("header")) {
+        kdl::Fields inner(*header);
+        const std::string name = kdl::text(inner.argument(0, "the name of a header, as HTTP_X_KIND"));
+        route.headers.emplace_back(name, kdl::text(inner.argument(1, "the value it must have")));
+        inner.done();
+    }
+    in.done();
+    (void)node;
+    return route;
+}
+
+upstreams::GroupTerms readGroup(const kdl::Node& node) {
+    kdl::Fields in(node);
+    upstreams::GroupTerms group;
+    group.name = kdl::text(in.argument(0, "the name of a group"));
+    for (const kdl::Node* found : in.children("server")) {
+        kdl::Fields inner(*found);
+        upstreams::ServerTerms server;
+        server.at = addressOf(inner.argument(0, "an address such as \"127.0.0.1:9000\""), 1);
+        property(inner, "weight", server.weight, kdl::number);
+        property(inner, "most", server.most, wholeFrom(1, 100000));
+        inner.done();
+        if (server.weight <= 0)
+            throw kdl::Problem(found->at, "a weight of 0 or less was found", "one above 0 was expected");
+        for (const auto& other : group.servers)
+            if (other.at == server.at)
+                throw kdl::Problem(found->at,
+                                   "the server " + server.at.host + ":" + std::to_string(server.at.port) +
+                                       " was found twice",
+                                   "each server once was expected");
+        group.servers.push_back(server);
+    }
+    if (group.servers.empty())
+        throw kdl::Problem(node.at, "group '" + group.name + "' was found without a server",
+                           "'server \"127.0.0.1:9001\"' was expected in it");
+    if (group.servers.size() > 2000)
+        throw kdl::Problem(node.at, "more than 2000 servers were found", "at most 2000 were expected");
+    if (const kdl::Node* const choose = in.child("choose")) {
+        kdl::Fields inner(*choose);
+        group.way = kdl::Fields::choice<decide::Way>(inner.argument(0, "a way to choose"),
+                                                     {{"round-robin", decide::Way::RoundRobin},
+                                                      {"least", decide::Way::Least},
+                                                      {"two-choices", decide::Way::TwoChoices},
+                                                      {"by-subject", decide::Way::BySubject}});
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("leave-out")) {
+        kdl::Fields inner(*found);
+        property(inner, "in-a-row", group.members.failuresInARow, wholeFrom(1, 1000));
+        property(inner, "share", group.members.failedShare, kdl::share);
+        property(inner, "at-most", group.members.mostOut, kdl::share);
+        property(inner, "for", group.members.outFor, kdl::duration);
+        property(inner, "longest", group.members.outAtMost, kdl::duration);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("checks")) {
+        kdl::Fields inner(*found);
+        group.checksEvery = kdl::duration(inner.argument(0, "how often, such as 1s"));
+        property(inner, "path", group.checkPath, kdl::text);
+        inner.done();
+    }
+    group.connectsWithin = in.setting("connects-within", kdl::duration, group.connectsWithin);
+    in.done();
+    return group;
+}
+
+}  // namespace
+
+ServeTerms readServe(const std::string& path) {
+    const auto document = kdl::readFile(path);
+    const kdl::Node* serve = nullptr;
+    for (const kdl::Node& node : document) {
+        if (node.name != "serve" || serve != nullptr)
+            throw kdl::Problem(node.at, "'" + node.name + "' was found",
+                               "one 'serve NAME { … }' was expected");
+        serve = &node;
+    }
+    if (serve == nullptr)
+        throw kdl::Problem({path, 1, 1}, "no 'serve' was found", "'serve NAME { … }' was expected");
+    kdl::Fields in(*serve);
+    ServeTerms all;
+    all.name = kdl::text(in.argument(0, "the name of this server"));
+    if (const kdl::Node* const found = in.child("limits")) {
+        kdl::Fields inner(*found);
+        property(inner, "memory", all.memoryMb,
+                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / (1 << 20); });
+        property(inner, "sockets", all.sockets, wholeFrom(64, 1000000));
+        inner.done();
+        if (all.memoryMb < 16)
+            throw kdl::Problem(found->at, "less than 16MiB of memory were found",
+                               "at least 16MiB were expected");
+    }
+    if (const kdl::Node* const found = in.child("leave")) {
+        kdl::Fields inner(*found);
+        property(inner, "stop", all.stopAfter, kdl::duration);
+        property(inner, "grace", all.grace, kdl::duration);
+        inner.done();
+        if (all.stopAfter < 500ms || all.grace >= all.stopAfter)
+            throw kdl::Problem(found->at, "a stop under 500ms or before the grace was found",
+                               "'leave stop=3s grace=800ms' was expected");
+    }
+    all.seed =
+        static_cast<std::uint64_t>(in.setting("seed", wholeFrom(0, std::int64_t{1} << 53), std::int64_t{0}));
+
+    for (const kdl::Node* node : in.children("group")) {
+        all.groups.push_back(readGroup(*node));
+        for (std::size_t at = 0; at + 1 < all.groups.size(); ++at)
+            if (all.groups[at].name == all.groups.back().name)
+                throw kdl::Problem(node->at, "a second group '" + all.groups.back().name + "' was found",
+                                   "a name of its own was expected");
+    }
+    if (all.groups.empty())
+        throw kdl::Problem(serve->at, "'serve' was found without a group",
+                           "'group NAME { server … }' was expected in it");
+
+    StartTerms& terms = all.terms;
+    static const std::vector<std::pair<std::string, Repeat>> kRepeats = {{"repeatable", Repeat::Repeatable},
+                                                                         {"once-only", Repeat::OnceOnly}};
+    for (const kdl::Node* node : in.children("profile")) {
+        kdl::Fields inner(*node);
+        const std::string name = kdl::text(inner.argument(0, "the name of a profile"));
+        ProfileTerms profile;
+        profile.earnings = inner.setting("worth", kdl::number, 1.0);
+        profile.lateShare = inner.setting("late-share", kdl::share, 0.0);
+        profile.promised = inner.setting("promised", kdl::duration, Nanos(1s));
+        profile.hardStop = inner.setting("hard-stop", kdl::duration, Nanos(5s));
+        profile.repeat = Repeat::OnceOnly;  // nothing is run again that was not said to be harmless
+        if (const kdl::Node* const repeat = inner.child("repeat")) {
+            kdl::Fields one(*repeat);
+            profile.repeat = kdl::Fields::choice(one.argument(0, "repeatable or once-only"), kRepeats);
+            one.done();
+        }
+        std::size_t group = 0;
+        if (const kdl::Node* const found = inner.child("group")) {
+            kdl::Fields one(*found);
+            const kdl::Value& value = one.argument(0, "the name of a group");
+            const auto at = std::find_if(all.groups.begin(), all.groups.end(),
+                                         [&](const auto& each) { return each.name == value.text; });
+            if (at == all.groups.end())
+                throw kdl::Problem(value.at, "the group '" + value.text + "' was found",
+                                   "the name of a group was expected");
+            group = static_cast<std::size_t>(at - all.groups.begin());
+            one.done();
+        } else if (all.groups.size() > 1) {
+            throw kdl::Problem(node->at, "profile '" + name + "' was found without a group",
+                               "'group NAME' was expected, as there are several");
+        }
+        inner.done();
+        if (profile.promised <= 0ns || profile.hardStop < profile.promised)
+            throw kdl::Problem(node->at,
+                               "profile '" + name + "' was found with a hard stop before its promised time",
+                               "promised above 0 and hard-stop not below it were expected");
+        if (!all.names.profiles.emplace(name, static_cast<int>(terms.profiles.size())).second)
+            throw kdl::Problem(node->at, "a second profile '" + name + "' was found",
+                               "a name of its own was expected");
+        terms.profiles.push_back(profile);
+        all.profileNames.push_back(name);
+        all.groupOf.push_back(group);
+    }
+    if (terms.profiles.empty())
+        throw kdl::Problem(serve->at, "'serve' was found without a profile",
+                           "'profile NAME { … }' was expected in it");
+    for (const kdl::Node* node : in.children("customer")) {
+        kdl::Fields inner(*node);
+        const std::string name = kdl::text(inner.argument(0, "the name of a customer"));
+        double quota = 1e6;
+        property(inner, "quota", quota, kdl::rate);
+        inner.done();
+        if (!all.names.customers.emplace(name, static_cast<int>(terms.customers.size())).second)
+            throw kdl::Problem(node->at, "a second customer '" + name + "' was found",
+                               "a name of its own was expected");
+        terms.customers.push_back({quota});
+    }
+
+    const auto bytes = [&](double share) {
+        return static_cast<std::size_t>(all.memoryMb * share * (1 << 20));
+    };
+    const auto sockets = [&](double share) { return static_cast<std::size_t>(all.sockets * share); };
+    all.shares = {sockets(0.3125), sockets(0.25), bytes(0.125), bytes(0.0625), bytes(0.125), bytes(0.0625)};
+    all.groupBounds = {sockets(0.25), 1 << 20, bytes(0.25)};
+    if (const kdl::Node* const found = in.child("thrift")) {
+        kdl::Fields inner(*found);
+        all.thrift = addressOf(need(inner, "listen"), 0);
+        inner.done();
+    }
+    if (const kdl::Node* const found = in.child("scgi")) {
+        kdl::Fields inner(*found);
+        fronts::ScgiFrontTerms front;
+        front.listen = addressOf(need(inner, "listen"), 0);
+        property(inner, "head-at-most", front.bounds.head, kdl::bytes);
+        property(inner, "body-at-most", front.bounds.body, kdl::bytes);
+        property(inner, "head-within", front.headWithin, kdl::duration);
+        property(inner, "body-within", front.bodyWithin, kdl::duration);
+        property(inner, "takes-within", front.takesWithin, kdl::duration);
+        for (const kdl::Node* node : inner.children("route")) {
+            kdl::Fields one(*node);
+            fronts::Meaning meaning;
+            decide::Route route = readRoute(one, *node, meaning, all.names);
+            route.target = front.meanings.size();
+            front.meanings.push_back(meaning);
+            all.routes.push_back(std::move(route));
+        }
+        inner.done();
+        if (front.bounds.head > bytes(0.01) || front.bounds.body > bytes(0.05))
+            throw kdl::Problem(found->at, "a head or body was found that is large beside the memory",
+                               "at most 1% of it for a head and 5% for a body were expected");
+        if (all.routes.empty())
+            throw kdl::Problem(found->at, "'scgi' was found without a route",
+                               "'route \"/*\" profile=NAME' was expected in it");
+        front.connections = sockets(0.3125);
+        front.bytes = bytes(0.125);
+        front.customers = all.names.customers;
+        all.scgi = std::move(front);
+    }
+    if (!all.thrift && !all.scgi)
+        throw kdl::Problem(serve->at, "'serve' was found without a front",
+                           "'thrift listen=…' or 'scgi listen=… { … }' was expected in it");
+    in.done();
+
+    // The groups stand for the machine: its cores are what their servers are allowed at once.
+    double most = 0;
+    for (const auto& group : all.groups)
+        for (const auto& server : group.servers) most += server.most;
+    terms.cores = static_cast<int>(std::min(most, 10000.0));
+    terms.fallMultiple = 4;
+    terms.fallOver = 2s;
+    terms.memoryKb = static_cast<double>(bytes(0.125)) / 1024;
+    terms.halting = Halting::Abort;
+    terms.drainGrace = all.grace;
+    terms.comeBackAllowed = true;
+    terms.longestComeBack = 2s;
+    terms.longestIdle = 30s;
+    terms.freeValue = FreeValue::Share;
+    return all;
+}
+
+}  // namespace cottonwing::serve
--- /dev/null
+++ b/src/serve/terms.h
@@ -0,0 +1,35 @@
+// What `cottonwing serve FILE` is told: the operator's own file in KDL, read, checked and given defaults.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fronts/scgi/front.h"
+#include "kdl/fields.h"
+#include "launch/start.h"
+#include "upstreams/scgi/groups.h"
+
+namespace cottonwing::serve {
+
+struct ServeTerms {
+    std::string name;
+    double memoryMb = 192, sockets = 1024;
+    Nanos stopAfter{std::chrono::milliseconds(3200)}, grace{std::chrono::milliseconds(800)};
+    std::uint64_t seed = 0;  // 0: from the system
+    std::optional<net::Address> thrift;
+    std::optional<fronts::ScgiFrontTerms> scgi;
+    std::vector<decide::Route> routes;  // their targets are places in scgi->meanings
+    std::vector<upstreams::GroupTerms> groups;
+    std::vector<std::size_t> groupOf;  // by profile
+    upstreams::GroupBounds groupBounds;
+    StartTerms terms;
+    launch::Names names;
+    std::vector<std::string> profileNames;
+    launch::Shares shares;
+};
+
+// Throws kdl::Problem.
+ServeTerms readServe(const std::string& path);
+
+}  // namespace cottonwing::serve
--- /dev/null
+++ b/src/upstreams/scgi/groups.h
@@ -0,0 +1,144 @@
+// Groups of SCGI servers that run commands, in place of a worker pool: a connection for each attempt, as the
+// protocol has it. Which server, who is left out, how many at once, what is tried again is decided in
+// src/decide; here it is carried out.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "backend/backend.h"
+#include "decide/attempts/attempts.h"
+#include "decide/choice/choice.h"
+#include "decide/limit/limit.h"
+#include "decide/members/members.h"
+#include "net/connection.h"
+#include "scgi/message.h"
+
+namespace cottonwing::upstreams {
+
+struct ServerTerms {
+    net::Address at;
+    double weight = 1;
+    double most = 32;  // in flight at once, the operator's
+    bool operator==(const ServerTerms&) const = default;
+};
+
+struct GroupTerms {
+    std::string name;
+    std::vector<ServerTerms> servers;
+    decide::Way way = decide::Way::TwoChoices;
+    decide::AttemptTerms attempts;
+    decide::MemberTerms members;
+    Nanos connectsWithin{std::chrono::milliseconds(500)};
+    Nanos checksEvery{0};  // 0: none
+    std::string checkPath = "/";
+};
+
+// What all groups together may take.
+struct GroupBounds {
+    std::size_t connections = 256, reply = 1 << 20, bytes = 32 << 20;  // reply: of one; bytes: in all rings
+};
+
+struct GroupCounts {
+    std::uint64_t attempts = 0, first = 0, again = 0, refused = 0, broken = 0, timedOut = 0, badReplies = 0,
+                  saidFailed = 0, checks = 0;
+    std::uint64_t notAgain[6] = {};
+};
+
+class ScgiGroups : public backend::Runs {
+public:
+    // groupOf: by profile, the place in groups.
+    ScgiGroups(net::Loop& loop, const std::vector<GroupTerms>& groups, std::vector<std::size_t> groupOf,
+               std::vector<ProfileTerms> profiles, std::vector<std::string> profileNames,
+               const GroupBounds& bounds, std::uint64_t seed, backend::Backend& backend, report::Log& log);
+    ~ScgiGroups() override;
+
+    void start(const backend::Run& run) override;
+    void halt(const std::string& name) override;
+    void supply(const std::string&, std::string_view) override {}  // these servers make no calls through us
+    void askGauges() override;
+    void verify(std::function<void(std::optional<bool>)> told) override;
+
+    // The same groups with other servers: added ones start slowly, removed ones keep what they have in
+    // flight. Returns how many were added and removed.
+    std::pair<std::size_t, std::size_t> change(const std::vector<GroupTerms>& groups);
+
+    std::size_t flying() const { return lines_.size() - checks_; }
+    std::size_t waiting() const;
+    const GroupCounts& counts() const { return counts_; }
+    std::size_t out(std::size_t group) const;  // servers that are left out now
+
+private:
+    struct Line;
+    struct Server {
+        ServerTerms terms;
+        decide::Limit limit;
+        int flying = 0;
+        bool leaving = false, gone = false;
+        Line* check = nullptr;
+    };
+    struct Group {
+        GroupTerms terms;
+        decide::Members members;
+        decide::Choice choice;
+        decide::Budget budget;
+        std::vector<Server> servers;    // by the members' places
+        std::deque<CommandId> waiting;  // for a server that may be used; emptied by that, by time and halts
+    };
+    struct Job {
+        std::string name, request;
+        std::size_t group = 0;
+        int profile = 0;
+        backend::Form form = backend::Form::Plain;
+        Nanos due{0}, since{0}, begun{0}, waited{0}, at{0};  // at: its entry in the agenda
+        std::optional<std::size_t> server;                   // of the last attempt
+        std::uint64_t subject = 0;
+        int attempts = 0;
+        Line* line = nullptr;
+        bool waits = false, everBegan = false;
+        std::string said;  // the last reply that a server gave, where it told of a failure
+        int saidStatus = 0;
+    };
+    void agenda(CommandId id, Job& job, Nanos at);
+    void pump();
+    void begin(CommandId id, Nanos now);
+    void attemptFailed(CommandId id, decide::Began began, Nanos now, const char* why);
+    void finish(CommandId id, Outcome outcome, const std::string& result);
+    void replied(Line& line);
+    void lineEnded(Line& line, net::ConnectionEnd end);
+    void release(Line& line, std::optional<Nanos> took, Nanos now);
+    void sendWaiting(Group& group, Nanos now);
+    void check(Nanos now);
+    void addServer(Group& group, const ServerTerms& terms);
+    void tellStates(Group& group, std::size_t at, decide::Members::State before, Nanos now);
+
+    net::Loop& loop_;
+    const std::vector<std::size_t> groupOf_;
+    const std::vector<ProfileTerms> profiles_;
+    const std::vector<std::string> profileNames_;
+    const GroupBounds bounds_;
+    const std::shared_ptr<net::Total> total_;
+    std::mt19937 chance_;
+    backend::Backend& backend_;
+    report::Log& log_;
+    std::vector<std::unique_ptr<Group>> groups_;
+    std::unordered_map<CommandId, Job> jobs_;  // emptied by the ends of runs
+    std::set<std::pair<Nanos, CommandId>>
+        agenda_;                               // an entry a job: its next attempt, or when it is given up
+    std::vector<CommandId> over_;              // halted: their ends are said in the next turn
+    std::list<std::unique_ptr<Line>> lines_;   // connections; emptied by their ends
+    std::vector<std::unique_ptr<Line>> gone_;  // emptied by the next turn
+    std::size_t checks_ = 0;
+    Nanos nextCheck_{0};
+    GroupCounts counts_;
+    net::Timer timer_;
+};
+
+}  // namespace cottonwing::upstreams
--- a/tests/cases_test.cpp
+++ b/tests/cases_test.cpp
@@ -487,6 +487,27 @@
     EXPECT_GT(m.starts, 0);
 }
 
+// Found by the laboratory (slow-records): runs given up at their call were never stopped; where what runs
+// them does not end them by itself, 26 of them filled a backend's places, and it handled a fifth of its load
+// for good.
+TEST(Calls, ARunThatIsGivenUpAtItsCallIsStopped) {
+    StartTerms terms = plainTerms();
+    terms.halting = Halting::Pause;
+    Machine m(terms);
+    Round round;
+    round.read = {m.command(1)};
+    m.step(round);
+    round = {};
+    round.parked = {1};
+    m.step(round);
+    m.step();
+    ASSERT_EQ(m.on(Machine::At::Below), 1);
+    round = {};
+    round.callersLeft = {1};
+    m.step(round);
+    EXPECT_EQ(m.halts, 1);
+}
+
 TEST(Leaving, NoticeTurnsHealthBadAndLateArrivalsAway) {
     Machine m(plainTerms());
     m.step();
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -85,7 +85,7 @@
     std::vector<Nanos> lingering;
     Nanos idle{-1};
     std::optional<double> asking;  // what the gauge says, where it is not what runs
-    int starts = 0, bounces = 0, scraps = 0, calls = 0, out = 0, leftOut = 0;
+    int starts = 0, halts = 0, bounces = 0, scraps = 0, calls = 0, out = 0, leftOut = 0;
     bool good = false;
 
     Command command(CommandId id, int profile = 0, Nanos left = 5s) {
@@ -209,7 +209,10 @@
         answer(id);
         if (work.at(id).at == At::Hold || work.at(id).at == At::Joined) work.erase(id);
     }
-    void halt(CommandId id) override { rule(work.at(id).answered || work.at(id).left, "halted"); }
+    void halt(CommandId id) override {
+        ++halts;
+        rule(work.at(id).answered || work.at(id).left, "halted");
+    }
     void call(CommandId id, Nanos p) override {
         ++calls, ++out;
         patience = p;
--- /dev/null
+++ b/tests/scgi_test.cpp
@@ -0,0 +1,426 @@
+// SCGI: its bytes in any pieces, routes against a plain list, the learned limit, and the gateway on sockets
+// with kiosks in front and servers behind that do all that servers do.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <cmath>
+#include <fstream>
+
+#include "decide/limit/limit.h"
+#include "decide/routes/routes.h"
+#include "helpers.h"
+#include "lab/emulate/scgi_server.h"
+#include "lab/sidecar_thrift.h"
+#include "serve/gateway.h"
+
+namespace cottonwing {
+namespace {
+
+using namespace std::chrono_literals;
+using cottonwing::testing::until;
+using lab::ScgiFault;
+using lab::ScgiServer;
+
+int upTo(int most) { return *rc::gen::resize(1000, rc::gen::inRange(0, most + 1)); }
+
+// ---- bytes ----------------------------------------------------------------------------------------------
+
+RC_GTEST_PROP(ScgiBytes, ARequestIsTheSameInAnyPieces, ()) {
+    scgi::Headers headers = {{"REQUEST_METHOD", "POST"},
+                             {"REQUEST_URI", "/board/" + std::to_string(upTo(99))}};
+    for (int n = upTo(5); n > 0; --n)
+        headers.emplace_back("HTTP_X_" + std::to_string(n),
+                             std::string(static_cast<std::size_t>(upTo(40)), 'x'));
+    const std::string body(static_cast<std::size_t>(upTo(300)), 'b');
+    const std::string bytes = scgi::writeRequest(headers, body);
+    scgi::RequestReader reader({8192, 65536});
+    for (std::size_t at = 0; at < bytes.size();) {
+        const std::size_t piece = std::min(bytes.size() - at, static_cast<std::size_t>(1 + upTo(20)));
+        RC_ASSERT(reader.state() != scgi::RequestReader::State::Bad);
+        RC_ASSERT(reader.read(std::string_view(bytes).substr(at, piece)) == piece);
+        at += piece;
+    }
+    RC_ASSERT(reader.state() == scgi::RequestReader::State::Whole);
+    RC_ASSERT(reader.body() == body);
+    for (const auto& [name, value] : headers)
+        RC_ASSERT(scgi::headerOf(reader.headers(), name) == std::string_view(value));
+    RC_ASSERT(reader.read("more") == 0U);
+}
+
+scgi::Wrong wrongOf(const std::string& bytes, scgi::Bounds bounds = {1000, 1000}) {
+    scgi::RequestReader reader(bounds);
+    reader.read(bytes);
+    return reader.wrong();
+}
+std::string netstring(const std::string& head) { return std::to_string(head.size()) + ":" + head + ","; }
+
+TEST(ScgiBytes, EachWrongHeadIsNamedAndHasItsStatus) {
+    const std::string zero(1, '\0');
+    const std::string good = "CONTENT_LENGTH" + zero + "5" + zero + "SCGI" + zero + "1" + zero;
+    EXPECT_EQ(wrongOf(netstring(good) + "hello"), scgi::Wrong::None);
+    EXPECT_EQ(wrongOf("GET / HTTP/1.1"), scgi::Wrong::NoNetstring);
+    EXPECT_EQ(wrongOf(":"), scgi::Wrong::NoNetstring);
+    EXPECT_EQ(wrongOf("60000000:"), scgi::Wrong::HeadTooLong);
+    EXPECT_EQ(wrongOf("99999999999999999999"), scgi::Wrong::HeadTooLong);
+    EXPECT_EQ(wrongOf(std::to_string(good.size()) + ":" + good + ";"), scgi::Wrong::HeadCut);
+    EXPECT_EQ(wrongOf(netstring(good + "ODD")), scgi::Wrong::HeadCut);
+    EXPECT_EQ(wrongOf(netstring("SCGI" + zero + "1" + zero + "CONTENT_LENGTH" + zero + "0" + zero)),
+              scgi::Wrong::NoLength);
+    EXPECT_EQ(wrongOf(netstring("")), scgi::Wrong::NoLength);
+    EXPECT_EQ(wrongOf(netstring("CONTENT_LENGTH" + zero + "-1" + zero)), scgi::Wrong::BadLength);
+    EXPECT_EQ(wrongOf(netstring("CONTENT_LENGTH" + zero + "0" + zero)), scgi::Wrong::NotScgi);
+    EXPECT_EQ(wrongOf(netstring("CONTENT_LENGTH" + zero + "5000" + zero + "SCGI" + zero + "1" + zero)),
+              scgi::Wrong::BodyTooLong);
+    EXPECT_EQ(wrongOf(netstring(good + "SCGI" + zero + "1" + zero)), scgi::Wrong::TwiceNamed);
+    EXPECT_EQ(scgi::statusOf(scgi::Wrong::HeadTooLong), 431);
+    EXPECT_EQ(scgi::statusOf(scgi::Wrong::BodyTooLong), 413);
+    EXPECT_EQ(scgi::statusOf(scgi::Wrong::NoLength), 411);
+}
+
+RC_GTEST_PROP(ScgiBytes, AnyBytesEndInBoundedMemory, ()) {
+    scgi::RequestReader reader({200, 300});
+    scgi::ReplyReader reply(400);
+    for (int n = upTo(30); n > 0; --n) {
+        const std::string piece = *rc::gen::container<std::string>(
+            rc::gen::elementOf(std::string("0123456789:,\0\r\nSCGIstatu ", 26)));
+        reader.read(piece);
+        reply.read(piece);
+        RC_ASSERT(reader.held() <= 501U);
+        RC_ASSERT(reply.bytes().size() <= 400U);
+    }
+}
+
+TEST(ScgiBytes, RepliesAreHeldAgainstWhatTheySay) {
+    using State = scgi::ReplyReader::State;
+    const auto stateOf = [](const std::string& bytes, bool ends) {
+        scgi::ReplyReader reader(1000);
+        for (const char byte : bytes) reader.read(std::string_view(&byte, 1));
+        return ends ? reader.end() : reader.state();
+    };
+    EXPECT_EQ(stateOf("Status: 200 OK\r\nContent-Length: 2\r\n\r\nhi", false), State::Whole);
+    EXPECT_EQ(stateOf("Content-Type: a\n\nhi", false), State::Partial);
+    EXPECT_EQ(stateOf("Content-Type: a\n\nhi", true), State::Whole);
+    EXPECT_EQ(stateOf("Status: 200 OK\r\nContent-Length: 3\r\n\r\nhi", true), State::Bad);
+    EXPECT_EQ(stateOf("Status: 200 OK\r\nContent-Length: 1\r\n\r\nhi", false), State::Bad);
+    EXPECT_EQ(stateOf("Status: fine\r\n\r\n", false), State::Bad);
+    EXPECT_EQ(stateOf("no head at all\r\n\r\n", false), State::Bad);
+    EXPECT_EQ(stateOf("", true), State::Bad);
+}
+
+// ---- routes and limits ----------------------------------------------------------------------------------
+
+// The trie takes the same route as a look at each in turn, for any routes, paths, methods and headers.
+RC_GTEST_PROP(RoutesTaken, AsByLookingAtEachInTurn, ()) {
+    static const std::vector<std::string> kWords = {"a", "b", "c", "", ":x", ":y"};
+    decide::Routes trie;
+    std::vector<decide::Route> list;
+    for (int n = 1 + upTo(25); n > 0; --n) {
+        decide::Route route;
+        for (int depth = 1 + upTo(3); depth > 0; --depth) route.path += "/" + *rc::gen::elementOf(kWords);
+        if (upTo(3) == 0) route.path += "/*";
+        if (upTo(2) == 0) route.methods = {upTo(1) ? "GET" : "POST"};
+        if (upTo(3) == 0) route.headers = {{"K", std::to_string(upTo(1))}};
+        route.target = list.size();
+        if (trie.add(route) == nullptr) list.push_back(route);
+    }
+    RC_ASSERT(trie.size() == list.size());
+    for (int n = 0; n < 30; ++n) {
+        std::string path;
+        for (int depth = 1 + upTo(4); depth > 0; --depth)
+            path += "/" + *rc::gen::elementOf(std::vector<std::string>{"a", "b", "c", "d", ""});
+        const std::string method = upTo(1) ? "GET" : "POST", value = std::to_string(upTo(2));
+        const auto header = [&](std::string_view name) -> std::optional<std::string_view> {
+            return name == "K" ? std::optional<std::string_view>(value) : std::nullopt;
+        };
+        const auto one = trie.find(path, method, header),
+                   other = decide::findPlainly(list, path, method, header);
+        RC_ASSERT(one.has_value() == other.has_value());
+        if (one) RC_ASSERT(one->route->target == other->route->target);
+        if (one) RC_ASSERT(one->names == other->names);
+    }
+}
+
+TEST(RoutesTaken, WrongPatternsAreNamed) {
+    EXPECT_FALSE(decide::Routes::wrong("/a/:b/*"));
+    EXPECT_TRUE(decide::Routes::wrong("a"));
+    EXPECT_TRUE(decide::Routes::wrong("/a/*/b"));
+    EXPECT_TRUE(decide::Routes::wrong("/a*"));
+    EXPECT_TRUE(decide::Routes::wrong("/:"));
+    decide::Routes routes;
+    EXPECT_THROW(routes.add({"nowhere", {}, {}, 0}), std::invalid_argument);
+}
+
+// A server that bears eight at once, each answer exponential: the limit comes near, stays in bounds, and
+// under steady load does not swing by more than half.
+TEST(LearnedLimit, FindsWhatAServerBearsAndStaysThere) {
+    std::mt19937 chance(3);
+    std::exponential_distribution<double> work(1 / 0.01);
+    decide::Limit limit(decide::LimitTerms{});
+    Nanos now{0};
+    double least = 1e9, most = 0;
+    for (int n = 0; n < 30000; ++n) {
+        const int flying = static_cast<int>(limit.limit());
+        const double crowd = std::max(1.0, flying / 8.0);
+        now += Nanos(static_cast<std::int64_t>(1e9 * 0.01 * crowd / flying));
+        limit.good(Nanos(static_cast<std::int64_t>(work(chance) * crowd * 1e9)), flying, now);
+        ASSERT_GE(limit.limit(), 1);
+        ASSERT_LE(limit.limit(), 100);
+        if (n > 10000) least = std::min(least, limit.settled()), most = std::max(most, limit.settled());
+    }
+    EXPECT_GE(least, 6);
+    EXPECT_LE(most, 24);
+    EXPECT_LT(most / least, 2.5);
+    for (int n = 0; n < 100; ++n) limit.failed(now += 1s);
+    EXPECT_EQ(limit.limit(), 1);
+    EXPECT_TRUE(limit.allows(0));
+}
+
+// ---- the gateway ----------------------------------------------------------------------------------------
+
+// A kiosk: one request, one answer, one connection.
+struct Kiosk : net::Owner {
+    Kiosk(net::Loop& loop, int port)
+        : connection(std::make_unique<net::Connection>(loop, net::Address{"127.0.0.1", port}, *this,
+                                                       net::Bounds{1 << 20, 1 << 20})) {}
+    void ask(const std::string& path, const std::string& method = "GET", scgi::Headers more = {},
+             const std::string& body = "") {
+        more.insert(more.begin(), {{"REQUEST_METHOD", method}, {"REQUEST_URI", path}});
+        connection->send(scgi::writeRequest(more, body));
+    }
+    void arrived(net::Connection& from) override {
+        std::string scratch;
+        const std::size_t size = from.input().size();
+        text += from.input().peek(size, scratch);
+        from.input().drop(size);
+    }
+    void ended(net::Connection&, net::ConnectionEnd) override { gone = true, connection.reset(); }
+    int status() const { return text.starts_with("Status: ") ? std::atoi(text.c_str() + 8) : 0; }
+    std::unique_ptr<net::Connection> connection;
+    std::string text;
+    bool gone = false;
+};
+
+constexpr const char* kRoutes = R"(
+        route "/board/:hall" GET profile="board-item" subject="hall"
+        route "/list/*" profile="cause-list" customer="HTTP_X_CUSTOMER"
+        route "/filing/*" POST profile="filing"
+    }
+    profile "board-item" { worth 5; promised 400ms; hard-stop 2s; repeat repeatable }
+    profile "cause-list" { worth 2; promised 1s; hard-stop 2s; repeat repeatable }
+    profile "filing" { worth 8; promised 1s; hard-stop 2s; repeat once-only }
+    customer "acme"
+)";
+
+class Hall {
+public:
+    explicit Hall(const std::vector<lab::ScgiServerTerms>& each, const std::string& front = "",
+                  const std::string& group = "")
+        : log(lines, report::Level::Debug) {
+        loop.onTrouble([](const std::string& what) { ADD_FAILURE() << what; });
+        for (const auto& terms : each)
+            servers.push_back(std::make_unique<ScgiServer>(loop, net::Address{"127.0.0.1", 0}, terms));
+        path = ::testing::TempDir() + "cottonwing-serve-" + std::to_string(getpid()) + ".kdl";
+        write(front, group);
+        gateway = std::make_unique<serve::Gateway>(loop, serve::readServe(path), log, counters);
+    }
+    ~Hall() { std::remove(path.c_str()); }
+    void write(const std::string& front, const std::string& group) {
+        std::string text =
+            "serve \"hall\" {\n leave stop=1500ms grace=300ms; seed 7; thrift listen=\"127.0.0.1:0\"\n scgi "
+            "listen=\"127.0.0.1:0\" " +
+            front + " {" + kRoutes + " group \"halls\" {" + group + "\n";
+        for (const auto& server : servers)
+            text += " server \"127.0.0.1:" + std::to_string(server->address().port) + "\"\n";
+        std::ofstream(path) << text + " }\n}\n";
+    }
+    int port() const { return gateway->scgi()->port(); }
+    std::unique_ptr<Kiosk> kiosk() { return std::make_unique<Kiosk>(loop, port()); }
+    // Asks, and waits for the whole answer.
+    std::string asked(const std::string& what, const std::string& method = "GET",
+                      const std::string& body = "") {
+        const auto one = kiosk();
+        one->ask(what, method, {}, body);
+        until(loop, [&] { return one->gone; });
+        return one->text;
+    }
+    void expectBooksClosed() const {
+        using report::Count;
+        EXPECT_EQ(counters.of(Count::CommandsRead),
+                  counters.of(Count::Handled) + counters.of(Count::Bounced) + counters.of(Count::Scrapped) +
+                      counters.of(Count::CallersLeft));
+    }
+
+    net::Loop loop;
+    std::ostringstream lines;
+    report::Log log;
+    report::Counters counters;
+    std::vector<std::unique_ptr<ScgiServer>> servers;
+    std::string path;
+    std::unique_ptr<serve::Gateway> gateway;
+};
+
+TEST(Gateway, PassesRequestAndReplyOnUnchangedAndTheDeadlineWithThem) {
+    Hall hall({lab::ScgiServerTerms{}});
+    const auto kiosk = hall.kiosk();
+    kiosk->ask("/list/supreme?day=2", "GET",
+               {{"HTTP_X_TRACE", "00000000000000ab"}, {"HTTP_X_PATIENCE_MS", "900"}, {"HTTP_ODD", "kept"}},
+               "body");
+    until(hall.loop, [&] { return kiosk->gone; });
+    EXPECT_EQ(kiosk->text,
+              scgi::writeReply(200, {{"Content-Type", "text/plain"}}, "answer to 00000000000000ab"));
+    const auto& headers = hall.servers[0]->lastHeaders();
+    EXPECT_EQ(scgi::headerOf(headers, "HTTP_ODD"), std::string_view("kept"));
+    EXPECT_EQ(hall.servers[0]->lastBody(), "body");
+    const auto due = std::atoll(std::string(scgi::headerOf(headers, "HTTP_X_DUE_MS").value_or("0")).c_str());
+    EXPECT_GT(due, net::unixNow() / 1ms - 1000);
+    EXPECT_LT(due, net::unixNow() / 1ms + 1000);
+    EXPECT_EQ(hall.asked("/nowhere").substr(0, 11), "Status: 404");
+    hall.expectBooksClosed();
+}
+
+TEST(Gateway, ThriftAndScgiShareOneCore) {
+    Hall hall({lab::ScgiServerTerms{}});
+    testing::Sidecar sidecar(hall.loop, hall.gateway->thrift()->port());
+    const auto sequence = sidecar.ask(7, "plain bytes", "cause-list", 1500);
+    until(hall.loop, [&] { return sidecar.answers.contains(sequence); });
+    EXPECT_EQ(sidecar.answers.at(sequence).body, "answer to 0000000000000007");
+    EXPECT_EQ(hall.servers[0]->lastBody(), "plain bytes");
+    EXPECT_EQ(hall.asked("/board/3").substr(0, 11), "Status: 200");
+    EXPECT_EQ(hall.counters.of(report::Count::Handled), 2U);
+    hall.expectBooksClosed();
+}
+
+// Each fault of a server costs its own attempt: another answers what may be asked again; what is once-only
+// fails and never runs twice.
+TEST(Gateway, FaultsOfServersCostOneAttemptAndOnceOnlyNeverRunsTwice) {
+    for (const ScgiFault fault : {ScgiFault::Half, ScgiFault::Twice, ScgiFault::BadStatus, ScgiFault::TooMuch,
+                                  ScgiFault::Breaks, ScgiFault::FailsFast}) {
+        Hall hall({{0ns, 1000, fault}, {}});
+        for (int n = 0; n < 6; ++n)
+            EXPECT_EQ(hall.asked("/board/3").substr(0, 11), "Status: 200") << static_cast<int>(fault);
+        for (int n = 0; n < 4; ++n) hall.asked("/filing/1", "POST", "once");
+        for (const auto& server : hall.servers)
+            for (const auto& [trace, runs] : server->runs()) EXPECT_EQ(runs, 1) << trace;
+        std::map<std::string, int> all;
+        for (const auto& server : hall.servers)
+            for (const auto& [trace, runs] : server->runs()) all[trace] += runs;
+        int twice = 0;
+        for (const auto& [trace, runs] : all) twice += runs > 1;
+        EXPECT_LE(twice, 6) << "repeats of board-item alone";
+        hall.expectBooksClosed();
+    }
+}
+
+TEST(Gateway, AServerThatSaysNothingIsGivenUpInTime) {
+    Hall hall({{0ns, 1000, ScgiFault::Silent}});
+    const auto kiosk = hall.kiosk();
+    kiosk->ask("/filing/1", "POST", {{"HTTP_X_PATIENCE_MS", "300"}});
+    until(hall.loop, [&] { return kiosk->gone; });
+    EXPECT_EQ(kiosk->status(), 504);
+    hall.expectBooksClosed();
+}
+
+TEST(Gateway, ACallerThatLeavesClosesItsConnectionBehind) {
+    Hall hall({{0ns, 1000, ScgiFault::Silent}});
+    auto kiosk = hall.kiosk();
+    kiosk->ask("/board/1");
+    until(hall.loop, [&] { return hall.servers[0]->requests() == 1; });
+    kiosk.reset();
+    until(hall.loop, [&] { return hall.servers[0]->left() == 1; });
+    EXPECT_EQ(hall.gateway->groups().flying(), 0U);
+    hall.expectBooksClosed();
+}
+
+TEST(Gateway, AllServersDownIsAnsweredAtOnceAndToldWhenToComeBack) {
+    Hall hall({lab::ScgiServerTerms{}});
+    const std::string before = hall.asked("/board/1");
+    EXPECT_EQ(before.substr(0, 11), "Status: 200");
+    hall.servers.clear();
+    std::map<std::string, int> statuses;
+    for (int n = 0; n < 20; ++n) ++statuses[hall.asked("/board/1").substr(8, 3)];
+    EXPECT_GT(statuses["503"], 0) << "bounced once the breaker of the runs is open";
+    EXPECT_EQ(statuses["502"] + statuses["503"] + statuses["504"], 20);
+    EXPECT_NE(hall.asked("/board/1").find("X-Retry-After-Ms: "), std::string::npos);
+    hall.expectBooksClosed();
+}
+
+TEST(Gateway, WrongRequestsCostTheirOwnConnectionAlone) {
+    Hall hall({lab::ScgiServerTerms{}},
+              "head-at-most=1KiB body-at-most=1KiB head-within=200ms body-within=200ms");
+    const auto told = [&](const std::string& bytes) {
+        const auto kiosk = hall.kiosk();
+        kiosk->connection->send(bytes);
+        until(hall.loop, [&] { return kiosk->gone; });
+        return kiosk->status();
+    };
+    EXPECT_EQ(told("GET / HTTP/1.0\r\n\r\n"), 400);
+    EXPECT_EQ(told("60000000:" + std::string(5000, 'x')), 431);
+    EXPECT_EQ(told(scgi::writeRequest({{"REQUEST_URI", "/board/1"}}, std::string(5000, 'x'))), 413);
+    EXPECT_EQ(told("12:"), 408);
+    const std::string slow = scgi::writeRequest({{"REQUEST_URI", "/board/1"}}, "slow");
+    EXPECT_EQ(told(slow.substr(0, slow.size() - 1)), 408);
+    EXPECT_EQ(hall.asked("/board/1").substr(0, 11), "Status: 200");
+    EXPECT_EQ(hall.servers[0]->requests(), 1U);
+}
+
+// The body comes while the notice does. Whole before the grace is over it runs; whole after it, it is
+// answered and never run; never whole, it is answered before the stop.
+TEST(Gateway, ABodyThatArrivesSlowlyWhileTheNoticeComes) {
+    Hall hall({lab::ScgiServerTerms{}});
+    const std::string bytes =
+        scgi::writeRequest({{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/filing/1"}}, "abcdef");
+    auto early = hall.kiosk(), late = hall.kiosk(), never = hall.kiosk();
+    for (Kiosk* kiosk : {early.get(), late.get(), never.get()})
+        kiosk->connection->send(bytes.substr(0, bytes.size() - 2));
+    until(hall.loop, [&] { return hall.gateway->scgi()->connections() == 3; });
+    hall.gateway->leave();
+    early->connection->send(bytes.substr(bytes.size() - 2));
+    until(hall.loop, [&] { return early->gone; });
+    EXPECT_EQ(early->status(), 200);
+    bool graceOver = false;
+    net::Timer grace(hall.loop, [&] { graceOver = true; });
+    grace.start(400ms);
+    until(hall.loop, [&] { return graceOver; });
+    late->connection->send(bytes.substr(bytes.size() - 2));
+    until(hall.loop, [&] { return late->gone && never->gone; });
+    EXPECT_EQ(late->status(), 503);
+    EXPECT_EQ(never->status(), 503);
+    EXPECT_EQ(hall.servers[0]->requests(), 1U);
+    hall.expectBooksClosed();
+}
+
+TEST(Gateway, ServersChangeWithTheFileAndWhatIsInFlightKeepsItsAnswer) {
+    Hall hall({{100ms, 1000, ScgiFault::None}});
+    const auto kiosk = hall.kiosk();
+    kiosk->ask("/board/1");
+    until(hall.loop, [&] { return hall.servers[0]->requests() == 1; });
+    auto old = std::move(hall.servers[0]);
+    hall.servers[0] =
+        std::make_unique<ScgiServer>(hall.loop, net::Address{"127.0.0.1", 0}, lab::ScgiServerTerms{});
+    hall.write("", "");
+    hall.gateway->readAgain(hall.path);
+    until(hall.loop, [&] { return kiosk->gone; });
+    EXPECT_EQ(kiosk->status(), 200);
+    hall.asked("/board/2");
+    EXPECT_EQ(hall.servers[0]->requests(), 1U);
+    EXPECT_EQ(old->requests(), 1U);
+    std::ofstream(hall.path) << "serve \"hall\" { broken";
+    hall.gateway->readAgain(hall.path);
+    EXPECT_EQ(hall.counters.of(report::Count::ReloadsRefused), 1U);
+    EXPECT_EQ(hall.asked("/board/2").substr(0, 11), "Status: 200");
+}
+
+TEST(Gateway, ABadServerIsLeftOutAndComesBack) {
+    Hall hall({{0ns, 1000, ScgiFault::Breaks}, {}, {}}, "", "leave-out for=100ms\nchoose round-robin");
+    for (int n = 0; n < 40; ++n) hall.asked("/board/" + std::to_string(n));
+    EXPECT_NE(hall.lines.str().find("is left out, 1 of 3 out"), std::string::npos);
+    hall.servers[0]->set({});
+    until(hall.loop, [&] {
+        hall.asked("/board/1");
+        return hall.gateway->groups().out(0) == 0;
+    });
+}
+
+}  // namespace
+}  // namespace cottonwing
