--- a/src/lab/audit/books.cpp
+++ b/src/lab/audit/books.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 constexpr std::size_t kMostBreaches = 50;
-// Between the write of a command and its reading lies the loopback; a command may only be blamed when it came
-// clearly after the grace.
+// Between the write of a command and its reading lies the loopback; a command
+// may only be blamed when it came clearly after the grace.
 constexpr Nanos kSlack = std::chrono::milliseconds(50);
 }  // namespace
 
@@ -89,6 +89,12 @@
     book(at->second);
 }
 
+std::size_t Books::instanceOf(const std::string& trace) const {
+    const std::lock_guard hold(guard_);
+    const auto at = tries_.find(trace);
+    return at == tries_.end() ? 0 : at->second.instance;
+}
+
 bool Books::waits(const std::string& trace) const {
     const std::lock_guard hold(guard_);
     const auto at = tries_.find(trace);
--- a/src/lab/audit/books.h
+++ b/src/lab/audit/books.h
@@ -1,5 +1,6 @@
-// The books of the four rules, kept by what callers and emulators see and by nothing that the program says of
-// itself. Callers' threads and the emulators' one write in it.
+// The books of the four rules, kept by what callers and emulators see and by
+// nothing that the program says of itself. Callers' threads and the emulators'
+// one write in it.
 #pragma once
 
 #include <cstdint>
@@ -25,8 +26,8 @@
 
 class Books : public Watcher {
 public:
-    // Entries are dropped this long after their try was sent. heapKb: what the commands of one instance may
-    // take, runFactor times as much while they run.
+    // Entries are dropped this long after their try was sent. heapKb: what the
+    // commands of one instance may take, runFactor times as much while they run.
     Books(const std::vector<Profile>& profiles, Nanos keeps, double heapKb, double runFactor);
 
     // Callers.
@@ -47,6 +48,8 @@
 
     std::vector<Breach> breaches() const;
     std::array<std::uint64_t, kRules> counts() const;
+    std::size_t instanceOf(
+        const std::string& trace) const;         // to which that try was sent; 0 where it is not known
     bool waits(const std::string& trace) const;  // its caller still waits for an answer to that try
     double memoryKb(std::size_t instance) const;
     double handledWork() const;  // seconds on cores that handled commands were worth
--- a/src/lab/callers.cpp
+++ b/src/lab/callers.cpp
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "intake/thrift.h"
+#include "scgi/message.h"
 
 namespace cottonwing::lab {
 
@@ -41,7 +42,8 @@
 }  // namespace
 
 std::string traceOf(std::uint64_t seed, std::uint64_t number, int attempt) {
-    // spread() takes no two numbers to one, and a seed shifts all of a run's numbers alike.
+    // spread() takes no two numbers to one, and a seed shifts all of a run's
+    // numbers alike.
     return hex16(decide::spread(decide::spread(seed) + number * 16 + static_cast<std::uint64_t>(attempt)));
 }
 
@@ -60,6 +62,7 @@
     Line(Callers& all, std::size_t theCaller, std::size_t theTarget, bool theCheck)
         : owner(all), caller(theCaller), target(theTarget), check(theCheck) {}
     void arrived(net::Connection& from) override {
+        if (kiosk) return arrivedScgi(from);
         std::size_t length = 0;
         while (connection != nullptr) {
             const auto state = intake::lookForFrame(from.input(), length);
@@ -77,11 +80,48 @@
             owner.heard(*this, std::move(*said));
         }
     }
-    void ended(net::Connection&, net::ConnectionEnd end) override { owner.lineEnded(*this, end); }
+    void arrivedScgi(net::Connection& from) {
+        while (connection && !from.input().empty()) {
+            const std::string_view piece = from.input().front();
+            const auto state = reply.read(piece);
+            from.input().drop(piece.size());
+            if (state != scgi::ReplyReader::State::Partial && from.input().empty()) return whole();
+        }
+    }
+    // 503 was turned away before it ran, what else is no success has failed.
+    void whole() {
+        if (reply.state() != scgi::ReplyReader::State::Whole) {
+            owner.tally_.broken.note(owner.tally_.broken.unreadable,
+                                     "an SCGI reply that can't be read, of server " + std::to_string(target));
+            return owner.lineEnded(*this, net::ConnectionEnd::Malformed);
+        }
+        Heard said;
+        said.sequence = 1;
+        const int status = reply.reply().status;
+        said.kind = status < 400    ? Heard::Kind::Answer
+                    : status == 503 ? Heard::Kind::Busy
+                                    : Heard::Kind::Failed;
+        said.good = status < 400;
+        said.body = reply.reply().body;
+        if (const auto pause = scgi::headerOf(reply.reply().headers, "x-retry-after-ms"))
+            said.fields["pause"] = *pause;
+        if (scgi::headerOf(reply.reply().headers, "x-nowhere-else")) said.fields["terminal"] = "1";
+        // A server that is tired says 503 of its own, and may have begun: only ours
+        // tell when to come back.
+        if (said.kind == Heard::Kind::Busy && !said.fields.contains("pause")) said.kind = Heard::Kind::Failed;
+        owner.heard(*this, std::move(said));
+    }
+    void ended(net::Connection&, net::ConnectionEnd end) override {
+        if (kiosk && end == net::ConnectionEnd::PeerClosed && reply.end() == scgi::ReplyReader::State::Whole)
+            return whole();
+        owner.lineEnded(*this, end);
+    }
 
     Callers& owner;
     const std::size_t caller, target;
     const bool check;
+    bool kiosk = false;
+    scgi::ReplyReader reply{1 << 20};
     std::unique_ptr<net::Connection> connection;
     std::unordered_map<std::int32_t, std::uint64_t> open;  // by sequence number; emptied by answers and ends
     std::unordered_set<std::int32_t> forgotten;            // emptied by answers, the oldest past a bound
@@ -200,7 +240,8 @@
     wake();
 }
 
-// An earlier ring than is needed does no harm, so the timer is set anew only for one that is earlier still.
+// An earlier ring than is needed does no harm, so the timer is set anew only
+// for one that is earlier still.
 void Callers::wake() {
     Nanos at = nextSweep_;
     if (!agenda_.empty()) at = std::min(at, agenda_.begin()->first);
@@ -215,8 +256,8 @@
     pace_.ringAt(armed_);
 }
 
-// Each worker reads the whole plan and takes the commands of its own callers, so that what is sent does not
-// turn on the number of workers.
+// Each worker reads the whole plan and takes the commands of its own callers,
+// so that what is sent does not turn on the number of workers.
 void Callers::dispatch(Nanos now) {
     std::size_t taken = 0;
     while (next_) {
@@ -234,8 +275,8 @@
                 if (start_ + next_->at > now) return;
                 take(*next_, start_ + next_->at, now);
             }
-            // Behind its time it still looks at the sockets now and then: answers must not wait for the
-            // backlog.
+            // Behind its time it still looks at the sockets now and then: answers
+            // must not wait for the backlog.
             if (++taken >= kDispatchAtOnce) {
                 next_ = plan_->next();
                 return soon();
@@ -284,7 +325,8 @@
     const auto chosen = caller.choice.choose(command.planned.subject, command.target, usable, caller.chance);
     ++command.attempts;
     if (!chosen) {
-        // Nobody may be used just now: it waits like one that was turned away before it began.
+        // Nobody may be used just now: it waits like one that was turned away
+        // before it began.
         return tryFailed(id, now, Began::Never, End::NeverSent);
     }
     command.target = *chosen;
@@ -294,7 +336,8 @@
     agenda(id, command, command.stopsAt);
 }
 
-// The connection with the fewest commands on it, a new one where all are busy and one more may be opened.
+// The connection with the fewest commands on it, a new one where all are busy
+// and one more may be opened.
 Callers::Line* Callers::lineFor(Caller& caller, std::size_t target) {
     auto& lines = caller.lines[target];
     Line* best = nullptr;
@@ -319,9 +362,9 @@
 
 bool Callers::put(std::uint64_t id, Command& command, std::size_t target, Nanos now) {
     Caller& caller = *callers_[command.caller];
-    Line* const line = lineFor(caller, target);
+    const bool kiosk = terms_.profiles[static_cast<std::size_t>(command.planned.profile)].scgi;
+    Line* const line = kiosk ? kioskLine(caller, target) : lineFor(caller, target);
     if (line == nullptr) return false;
-    const Profile& profile = terms_.profiles[static_cast<std::size_t>(command.planned.profile)];
     command.queued = false;
     command.trace = command.sentAgain ? traceOf(terms_.seed, id, command.attempts + 7)
                                       : traceOf(terms_.seed, id, command.attempts - 1);
@@ -334,12 +377,31 @@
     }
     command.everSent = true;
     const Planned& planned = command.planned;
+    if (kiosk)
+        line->connection->send(scgiOf(command, now));
+    else
+        line->connection->send(thriftOf(command, caller.number, now));
+
+    line->open.emplace(command.sequence, id);
+    line->used = now;
+    caller.choice.began(target);
+    caller.members.began(target, now);
+    ++tally_.profiles[static_cast<std::size_t>(planned.profile)].tries;
+    ++tally_.series.at(command.scheduled - start_).tries;
+    if (watcher_ != nullptr) watcher_->sent(planned, command.trace, command.first, target);
+    agenda(id, command, command.stopsAt);
+    return true;
+}
+
+std::string Callers::thriftOf(const Command& command, std::size_t caller, Nanos now) const {
+    const Planned& planned = command.planned;
+    const Profile& profile = terms_.profiles[static_cast<std::size_t>(planned.profile)];
     const Nanos born = clocks_.unix();
     thrift::Fields fields;
     fields["route"] = profile.claims.empty() ? profile.name : profile.claims;
     fields["trace"] = command.trace;
     fields["born"] = std::to_string(born / 1ms);
-    fields["client"] = std::to_string(caller.number);
+    fields["client"] = std::to_string(caller);
     fields["customer"] = customerName(planned.customer);
     fields["patience"] = std::to_string(std::max<std::int64_t>(1, (command.stopsAt - now) / 1ms));
     if (planned.again || command.attempts > 1) fields["redo"] = "1";
@@ -351,17 +413,38 @@
     std::snprintf(text, sizeof text, "%.4f", std::min(planned.rank, 0.9999));
     fields["order"] = text;
     if (profile.repeat == Repeat::Repeatable) fields["entity"] = hex16(decide::spread(planned.subject));
-    line->connection->send(
-        writeServe(command.sequence, fields, bodyOf(planned, profile.calls, command.first)));
-    line->open.emplace(command.sequence, id);
-    line->used = now;
-    caller.choice.began(target);
-    caller.members.began(target, now);
-    ++tally_.profiles[static_cast<std::size_t>(planned.profile)].tries;
-    ++tally_.series.at(command.scheduled - start_).tries;
-    if (watcher_ != nullptr) watcher_->sent(planned, command.trace, command.first, target);
-    agenda(id, command, command.stopsAt);
-    return true;
+    return writeServe(command.sequence, fields, bodyOf(planned, profile.calls, command.first));
+}
+
+std::string Callers::scgiOf(const Command& command, Nanos now) const {
+    const Planned& planned = command.planned;
+    const Profile& profile = terms_.profiles[static_cast<std::size_t>(planned.profile)];
+    scgi::Headers headers = {
+        {"REQUEST_METHOD", "POST"},
+        {"REQUEST_URI", "/" + (profile.claims.empty() ? profile.name : profile.claims) + "/" +
+                            std::to_string(planned.subject)},
+        {"HTTP_X_TRACE", command.trace},
+        {"HTTP_X_CUSTOMER", customerName(planned.customer)},
+        {"HTTP_X_PATIENCE_MS", std::to_string(std::max<std::int64_t>(1, (command.stopsAt - now) / 1ms))}};
+    char text[32];
+    std::snprintf(text, sizeof text, "%.2f", static_cast<double>(planned.hint.count()) / 1e6);
+    headers.emplace_back("HTTP_X_COST_MS", text);
+    if (planned.again || command.attempts > 1) headers.emplace_back("HTTP_X_REDO", "1");
+    return scgi::writeRequest(headers, bodyOf(planned, profile.calls, command.first));
+}
+
+// A connection of its own for each command, as the protocol has it.
+Callers::Line* Callers::kioskLine(Caller& caller, std::size_t target) {
+    auto line =
+        std::make_unique<Line>(*this, caller.number / static_cast<std::size_t>(workers_), target, false);
+    line->kiosk = true;
+    line->goaway = true;  // nothing more goes on it
+    line->begun = line->used = clocks_.steady();
+    line->connection = std::make_unique<net::Connection>(loop_, habits_.kiosks[target], *line,
+                                                         net::Bounds{1 << 20, 1 << 20});
+    ++tally_.links.opened;
+    caller.lines[target].push_back(std::move(line));
+    return caller.lines[target].back().get();
 }
 
 // A command's place on its connection and with its server is given back.
@@ -400,14 +483,17 @@
     Command& command = open_.at(id);
     if (command.queued) return finish(id, command.everSent ? command.worst : End::NeverSent, now);
     Line& line = *command.line;
-    // The server owes its answer until the patience is over; what crosses that moment is nobody's fault. One
-    // that is told to forget owes nothing, so such a caller waits a little before it says so.
+    // The server owes its answer until the patience is over; what crosses that
+    // moment is nobody's fault. One that is told to forget owes nothing, so such
+    // a caller waits a little before it says so.
     if (now < command.stopsAt + kLate) return agenda(id, command, command.stopsAt + kLate);
     if (line.connection && line.connection->isOpen())
         tally_.broken.note(tally_.broken.lost,
                            "no answer to " + command.trace + " of server " + std::to_string(line.target));
     callers_[command.caller]->members.failed(*command.target, now, callers_[command.caller]->chance);
-    if (habits_.forgets && line.connection) {
+    // A kiosk that gives up closes its connection: so it is told.
+    const bool kiosk = line.kiosk;
+    if (habits_.forgets && line.connection && !kiosk) {
         line.connection->send(writeForget(++line.sequence, command.sequence));
         ++tally_.links.forgets;
     }
@@ -419,6 +505,7 @@
     }
     detach(command, std::nullopt, now);
     finish(id, End::NoAnswer, now);
+    if (kiosk) lineEnded(line, net::ConnectionEnd::Unused);
 }
 
 void Callers::finish(std::uint64_t id, End end, Nanos now) {
@@ -530,7 +617,8 @@
     }
     if (line.goaway && line.open.empty()) return lineEnded(line, net::ConnectionEnd::Unused);
     sendWaiting(caller, target, now);
-    // From here the agenda may have an earlier entry than the timer, or nothing is left to wait for.
+    // From here the agenda may have an earlier entry than the timer, or nothing
+    // is left to wait for.
     if (habits_.closed > 0 || (!next_ && open_.empty()))
         soon();
     else
@@ -552,7 +640,8 @@
     else
         ++tally_.links.reset;
     line.connection.reset();
-    // The object goes with the next pump: the callback that led here may still look at it.
+    // The object goes with the next pump: the callback that led here may still
+    // look at it.
     if (line.check) {
         if (!line.open.empty() || refused) {
             ++tally_.links.checks, ++tally_.links.badChecks;
@@ -575,11 +664,12 @@
         if (at == open_.end()) continue;
         Command& command = at->second;
         detach(command, std::nullopt, now);
-        // What may run once only is sent again only where the server has said that it takes no more there.
+        // What may run once only is sent again only where the server has said that
+        // it takes no more there.
         const bool harmless =
             line.goaway ||
             terms_.profiles[static_cast<std::size_t>(command.planned.profile)].repeat == Repeat::Repeatable;
-        const bool crossed = !refused && harmless && now - command.written < kCrossing &&
+        const bool crossed = !refused && !line.kiosk && harmless && now - command.written < kCrossing &&
                              !command.sentAgain &&
                              (end == net::ConnectionEnd::PeerClosed || end == net::ConnectionEnd::Reset);
         if (crossed) {
@@ -604,7 +694,8 @@
     if (checks) nextCheck_ = now + habits_.checksEvery;
     for (auto& caller : callers_)
         for (std::size_t target = 0; target < habits_.targets.size(); ++target) {
-            // Connections that hang in opening or that nobody has used for long are closed.
+            // Connections that hang in opening or that nobody has used for long are
+            // closed.
             auto& lines = caller->lines[target];
             for (std::size_t at = 0; at < lines.size();) {
                 Line& line = *lines[at];
--- a/src/lab/callers.h
+++ b/src/lab/callers.h
@@ -1,5 +1,6 @@
-// The callers of one worker: each command is sent at its time whatever comes back, waited for, given up and
-// tried again as its caller's habits have it, and ends in exactly one way.
+// The callers of one worker: each command is sent at its time whatever comes
+// back, waited for, given up and tried again as its caller's habits have it,
+// and ends in exactly one way.
 #pragma once
 
 #include <atomic>
@@ -24,6 +25,8 @@
 struct Habits {
     int callers = 4;  // each with a budget, connections and a view of the servers of its own
     std::vector<net::Address> targets;
+    std::vector<net::Address> kiosks;  // where each of them takes SCGI, in the
+                                       // same order; for profiles that speak it
     decide::Way way = decide::Way::TwoChoices;
     decide::AttemptTerms attempts;
     decide::MemberTerms members;
@@ -44,10 +47,12 @@
 
 // The id of one try, 16 hex digits; never the same for two tries of a run.
 std::string traceOf(std::uint64_t seed, std::uint64_t number, int attempt);
-// What the emulated worker pool is told by a command's body, and what it answers.
+// What the emulated worker pool is told by a command's body, and what it
+// answers.
 std::string bodyOf(const Planned& planned, int calls, const std::string& firstTrace);
 
-// What an independent observer may count for itself; called on the worker's own thread.
+// What an independent observer may count for itself; called on the worker's own
+// thread.
 class Watcher {
 public:
     virtual ~Watcher() = default;
@@ -110,6 +115,9 @@
     void check(Nanos now);
     void sendWaiting(Caller& caller, std::size_t target, Nanos now);
     Line* lineFor(Caller& caller, std::size_t target);
+    Line* kioskLine(Caller& caller, std::size_t target);
+    std::string thriftOf(const Command& command, std::size_t caller, Nanos now) const;
+    std::string scgiOf(const Command& command, Nanos now) const;
     void wake();
     void soon();
 
--- a/src/lab/draw.cpp
+++ b/src/lab/draw.cpp
@@ -122,7 +122,8 @@
     }
 }
 
-// Rejection-inversion for monotone discrete distributions, as Hörmann and Derflinger published it (1996).
+// Rejection-inversion for monotone discrete distributions, as Hörmann and
+// Derflinger published it (1996).
 Zipf::Zipf(std::uint64_t count, double exponent)
     : count_(std::max<std::uint64_t>(count, 1)), exponent_(exponent) {
     hFirst_ = h(1.5) - 1;
--- a/src/lab/draw.h
+++ b/src/lab/draw.h
@@ -1,4 +1,5 @@
-// What is drawn by chance: distributions as a file gives them, and the streams of chance they draw from.
+// What is drawn by chance: distributions as a file gives them, and the streams
+// of chance they draw from.
 #pragma once
 
 #include <cstdint>
@@ -10,7 +11,8 @@
 
 namespace cottonwing::lab {
 
-// A stream of its own for each matter, by number, so that a change in one moves nothing in another.
+// A stream of its own for each matter, by number, so that a change in one moves
+// nothing in another.
 using Chance = pcg32;
 enum class Stream : std::uint64_t {
     Times,
@@ -50,8 +52,8 @@
     double a_ = 0, b_ = 0, most_ = 0;
 };
 
-// Ranks from 0, the first drawn most often: rank r with a weight of 1 / (r + 1)^exponent. By rejection, at a
-// cost that does not grow with the count.
+// Ranks from 0, the first drawn most often: rank r with a weight of 1 / (r +
+// 1)^exponent. By rejection, at a cost that does not grow with the count.
 class Zipf {
 public:
     Zipf(std::uint64_t count, double exponent);
--- a/src/lab/emulate/answering.cpp
+++ b/src/lab/emulate/answering.cpp
@@ -9,8 +9,8 @@
 struct Answering::Line : net::Owner, std::enable_shared_from_this<Answering::Line> {
     explicit Line(Answering& all) : owner(all) {}
     void arrived(net::Connection&) override {
-        // One that is deaf or stalled lets its rings fill, then the system's buffers, as a stopped process
-        // does.
+        // One that is deaf or stalled lets its rings fill, then the system's
+        // buffers, as a stopped process does.
         if (!owner.terms_.deaf && !owner.stalled(steadyNow())) read();
     }
     void read() {
--- a/src/lab/emulate/answering.h
+++ b/src/lab/emulate/answering.h
@@ -1,5 +1,6 @@
-// A stand-in for a whole server: answers every command by itself, after a set time, and with the faults it is
-// told to have. It keeps its own book of what it received and sent when, by trace.
+// A stand-in for a whole server: answers every command by itself, after a set
+// time, and with the faults it is told to have. It keeps its own book of what
+// it received and sent when, by trace.
 #pragma once
 
 #include <functional>
--- a/src/lab/emulate/cores.h
+++ b/src/lab/emulate/cores.h
@@ -1,6 +1,7 @@
-// Cores shared by what runs: each run gets an equal part, up to a whole core; past a crowd all of them
-// together do less. Pure: time comes in as an argument. Kept by the work that one run would have had so far,
-// so that a change in the crowd costs nothing for each run.
+// Cores shared by what runs: each run gets an equal part, up to a whole core;
+// past a crowd all of them together do less. Pure: time comes in as an
+// argument. Kept by the work that one run would have had so far, so that a
+// change in the crowd costs nothing for each run.
 #pragma once
 
 #include <cstdint>
@@ -26,8 +27,9 @@
 class Cores {
 public:
     explicit Cores(const CoreTerms& terms) : terms_(terms) {}
-    void start(Nanos now);                   // empty, and cold where it starts cold
-    void setSlow(double factor, Nanos now);  // all takes that many times as long; 0 or less: a pause
+    void start(Nanos now);  // empty, and cold where it starts cold
+    void setSlow(double factor,
+                 Nanos now);  // all takes that many times as long; 0 or less: a pause
     void add(std::uint64_t id, double work, Nanos now);
     // The work that was left.
     double remove(std::uint64_t id, Nanos now);
@@ -45,7 +47,8 @@
 
     const CoreTerms terms_;
     Nanos last_{0}, started_{0};
-    double each_ = 0, done_ = 0, slow_ = 1;  // each_: work that a run there all the time would have had
+    double each_ = 0, done_ = 0,
+           slow_ = 1;  // each_: work that a run there all the time would have had
     std::unordered_map<std::uint64_t, double> ends_;  // by id: each_ at its end; emptied by ends and removals
     std::set<std::pair<double, std::uint64_t>> order_;  // the same, in order
 };
--- a/src/lab/emulate/http_door.h
+++ b/src/lab/emulate/http_door.h
@@ -1,4 +1,5 @@
-// Where emulated HTTP/1.1 services hear their requests: one listener, connections with one request at a time.
+// Where emulated HTTP/1.1 services hear their requests: one listener,
+// connections with one request at a time.
 #pragma once
 
 #include <http_parser.h>
@@ -15,10 +16,12 @@
 class HttpDoor {
 public:
     struct Request {
-        std::string method, path, headers, body;  // headers: name:value lines, names in lower case
+        std::string method, path, headers,
+            body;  // headers: name:value lines, names in lower case
         std::string header(const std::string& name) const;
     };
-    // One connection, while it lasts: what is asked on it, and whether its asker is still there.
+    // One connection, while it lasts: what is asked on it, and whether its asker
+    // is still there.
     class Visitor {
     public:
         virtual ~Visitor() = default;
--- a/src/lab/emulate/scgi_server.cpp
+++ b/src/lab/emulate/scgi_server.cpp
@@ -1,5 +1,7 @@
 #include "lab/emulate/scgi_server.h"
 
+#include <cstdio>
+
 namespace cottonwing::lab {
 
 using namespace std::chrono_literals;
@@ -27,6 +29,8 @@
     ScgiServer& server;
     scgi::RequestReader reader;
     std::unique_ptr<net::Connection> connection;
+    Nanos takes{0};
+    std::string trace;
     bool answered = false, serving = false, early = false, closes = false;
 };
 
@@ -47,6 +51,7 @@
 void ScgiServer::end(Line& line) {
     const auto self = line.shared_from_this();
     if (std::exchange(line.serving, false)) --serving_;
+    if (endTold_ && !line.trace.empty()) endTold_(line.trace);
     if (line.connection) line.connection->writeLast();
     line.connection.reset();
     lines_.remove(self);
@@ -57,7 +62,20 @@
     ++requests_;
     lastHeaders_ = line.reader.headers();
     lastBody_ = line.reader.body();
-    if (const auto trace = scgi::headerOf(lastHeaders_, "HTTP_X_TRACE")) ++runs_[std::string(*trace)];
+    // A body of the laboratory's says what its work is; another takes what is
+    // usual here.
+    char first[17] = "";
+    long long work = 0;
+    line.takes = terms_.takes;
+    if (std::sscanf(lastBody_.c_str(), "cw1 %16s %lld", first, &work) == 2)
+        line.takes = std::chrono::microseconds(work);
+    if (const auto trace = scgi::headerOf(lastHeaders_, "HTTP_X_TRACE")) {
+        line.trace = *trace;
+        if (told_)
+            told_(std::string(*trace), first);
+        else
+            ++runs_[std::string(*trace)];
+    }
     if (terms_.fault == ScgiFault::Silent) return;
     if (terms_.fault == ScgiFault::Breaks) return end(line);
     if (terms_.fault == ScgiFault::FailsFast) return answer(line);
@@ -78,10 +96,12 @@
         if (!line || !line->connection) continue;
         line->serving = true;
         ++serving_;
-        if (terms_.takes == 0ns)
+        const double seconds = std::chrono::duration<double>(line->takes).count() * terms_.slow;
+        workDone_ += seconds;
+        if (seconds <= 0)
             answer(*line);
         else
-            due_.emplace(now + terms_.takes, line);
+            due_.emplace(now + Nanos(static_cast<std::int64_t>(seconds * 1e9)), line);
     }
     // What has its answer is closed once the system has taken it.
     const auto all = std::vector<std::shared_ptr<Line>>(lines_.begin(), lines_.end());
@@ -103,7 +123,7 @@
     line.answered = true;
     if (std::exchange(line.serving, false)) --serving_;
     const std::string body =
-        "answer to " + std::string(scgi::headerOf(line.reader.headers(), "HTTP_X_TRACE").value_or("nobody"));
+        "ok " + std::string(scgi::headerOf(line.reader.headers(), "HTTP_X_TRACE").value_or("nobody"));
     const std::string whole = scgi::writeReply(200, {{"Content-Type", "text/plain"}}, body);
     std::string bytes = whole;
     if (terms_.fault == ScgiFault::Half) bytes = whole.substr(0, whole.size() - body.size() / 2);
--- a/src/lab/emulate/scgi_server.h
+++ b/src/lab/emulate/scgi_server.h
@@ -1,8 +1,9 @@
-// An SCGI server on loopback: answers each request after a set time on so many at once, with the faults it is
-// told to have.
+// An SCGI server on loopback: answers each request after a set time on so many
+// at once, with the faults it is told to have.
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
     Nanos takes{0};
     int slots = 1000;  // requests served at once; the others wait
     ScgiFault fault = ScgiFault::None;
+    double slow = 1;  // times as long
 };
 
 class ScgiServer {
@@ -38,6 +40,14 @@
     ~ScgiServer();
     net::Address address() const { return {host_, listener_->port()}; }
     void set(ScgiServerTerms terms) { terms_ = terms; }
+    const ScgiServerTerms& terms() const { return terms_; }
+    // Told of each request that is whole: its id, and the first try's where the
+    // body names it.
+    void onRun(std::function<void(const std::string& trace, const std::string& first)> told) {
+        told_ = std::move(told);
+    }
+    void onEnd(std::function<void(const std::string& trace)> told) { endTold_ = std::move(told); }
+    double workDone() const { return workDone_; }
     std::uint64_t requests() const { return requests_; }
     std::uint64_t left() const { return left_; }  // askers that closed before their answer
     const std::map<std::string, int>& runs() const { return runs_; }  // by HTTP_X_TRACE; never emptied
@@ -62,6 +72,9 @@
     std::string lastBody_;
     std::uint64_t requests_ = 0, left_ = 0;
     int serving_ = 0;
+    double workDone_ = 0;
+    std::function<void(const std::string&, const std::string&)> told_;
+    std::function<void(const std::string&)> endTold_;
     Pace pace_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/lab/emulate/services.cpp
+++ b/src/lab/emulate/services.cpp
@@ -158,7 +158,8 @@
             share.sum -= share.samples.front().second;
             share.samples.pop_front();
         }
-        // The mean of the whole window, also where less of it has been seen: what came before was nothing.
+        // The mean of the whole window, also where less of it has been seen: what
+        // came before was nothing.
         const double mean =
             share.sum * static_cast<double>(kWatch.count()) / static_cast<double>(terms_.callsOver.count());
         share.most = std::max(share.most, mean);
--- a/src/lab/emulate/services.h
+++ b/src/lab/emulate/services.h
@@ -1,4 +1,5 @@
-// The records service and the registry on loopback, with the troubles they are told to have.
+// The records service and the registry on loopback, with the troubles they are
+// told to have.
 #pragma once
 
 #include <map>
@@ -18,7 +19,8 @@
     int slots = 20;         // calls served at once
     int line = 200;         // that wait for one; beyond it they are turned away
     double crowdSlows = 1;  // a call in a full line takes 1 + this times as long
-    double fallsAt = 0;     // calls in hand, on the mean of fallOver, at which it falls over; 0: never
+    double fallsAt = 0;     // calls in hand, on the mean of fallOver, at which it
+                            // falls over; 0: never
     Nanos fallOver{std::chrono::seconds(5)};
     Nanos downFor{std::chrono::seconds(5)};
     double share = 10;  // what one backend may have in its hands, on the mean of callsOver
--- a/src/lab/emulate/worker_pool.cpp
+++ b/src/lab/emulate/worker_pool.cpp
@@ -82,7 +82,8 @@
     ++pieces_;
     if (terms_.twiceEvery > 0 && pieces_ % static_cast<std::uint64_t>(terms_.twiceEvery) == 0) write(line);
     if (terms_.piecesEvery > 0 && pieces_ % static_cast<std::uint64_t>(terms_.piecesEvery) == 0) {
-        // The rest follows with the next look, a few milliseconds on: the reader has half a line until then.
+        // The rest follows with the next look, a few milliseconds on: the reader
+        // has half a line until then.
         write(line.substr(0, line.size() / 2));
         return void(rest_ += line.substr(line.size() / 2));
     }
@@ -208,7 +209,8 @@
     pace_.ringAt(next);
 }
 
-// The crowd that makes it fall over is a mean, so a sample every now and then tells.
+// The crowd that makes it fall over is a mean, so a sample every now and then
+// tells.
 void WorkerPool::watch(Nanos now) {
     if (now < lookAt_) return;
     lookAt_ = now + kWatch;
--- a/src/lab/emulate/worker_pool.h
+++ b/src/lab/emulate/worker_pool.h
@@ -1,5 +1,5 @@
-// A worker pool on loopback, one for each backend: runs commands on emulated cores, keeps its notices, and
-// has the troubles it is told to have.
+// A worker pool on loopback, one for each backend: runs commands on emulated
+// cores, keeps its notices, and has the troubles it is told to have.
 #pragma once
 
 #include <deque>
@@ -20,10 +20,10 @@
     Nanos fallOver{std::chrono::milliseconds(1500)};
     Nanos startsAfter{0};  // until it is up
     bool cold = false;
-    bool endsAtCalls =
-        true;  // a run at a call ends by itself when its command is over; else it waits there to be told
-    int piecesEvery = 0;  // every so many notices is written in two pieces
-    int twiceEvery = 0;   // is said twice
+    bool endsAtCalls = true;  // a run at a call ends by itself when its command is
+                              // over; else it waits there to be told
+    int piecesEvery = 0;      // every so many notices is written in two pieces
+    int twiceEvery = 0;       // is said twice
 };
 
 class WorkerPool {
@@ -35,7 +35,8 @@
     bool bound() const { return boundOnce_; }
     void slow(double factor);  // 0: it stands still
     void breakLink();
-    // Its process and the backend's are gone; it is empty, and cold if told so, when it comes back.
+    // Its process and the backend's are gone; it is empty, and cold if told so,
+    // when it comes back.
     void crash();
     void comeBack(bool cold);
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -29,12 +29,13 @@
     if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
 }
 
-Trouble readTrouble(const kdl::Node& node, std::size_t backends) {
+Trouble readTrouble(const kdl::Node& node, std::size_t backends, std::size_t servers) {
     static const std::vector<std::pair<std::string, Trouble::Kind>> kKinds = {
         {"records", Trouble::Kind::Records},      {"pool", Trouble::Kind::Pool},
         {"stall", Trouble::Kind::Stall},          {"crash", Trouble::Kind::Crash},
         {"link-break", Trouble::Kind::LinkBreak}, {"reload", Trouble::Kind::Reload},
-        {"release", Trouble::Kind::Release},      {"registry", Trouble::Kind::Registry}};
+        {"release", Trouble::Kind::Release},      {"registry", Trouble::Kind::Registry},
+        {"server", Trouble::Kind::Server}};
     kdl::Fields in(node);
     Trouble trouble;
     const kdl::Value& kind = in.argument(0, "what the trouble is");
@@ -55,8 +56,13 @@
     property(in, "down", trouble.down, kdl::truth);
     property(in, "cold", trouble.cold, kdl::truth);
     property(in, "silent", trouble.silent, kdl::truth);
+    property(in, "fails", trouble.fails, kdl::truth);
+    const std::size_t count = trouble.kind == Trouble::Kind::Server ? servers : backends;
+    if (count == 0)
+        throw kdl::Problem(kind.at, "'server' was found without servers",
+                           "'servers 20' was expected in the experiment");
     if (const kdl::Value* const on = in.property("on"))
-        trouble.on = {static_cast<std::size_t>(kdl::whole(*on, 1, static_cast<std::int64_t>(backends))) - 1};
+        trouble.on = {static_cast<std::size_t>(kdl::whole(*on, 1, static_cast<std::int64_t>(count))) - 1};
     in.done();
     return trouble;
 }
@@ -132,8 +138,17 @@
         property(inner, "linger", records.linger, kdl::duration);
         inner.done();
     }
+    if (const kdl::Node* const found = in.child("servers")) {
+        kdl::Fields inner(*found);
+        terms->servers.count = static_cast<std::size_t>(kdl::whole(inner.argument(0, "how many"), 1, 150));
+        property(inner, "slots", terms->servers.slots, wholeFrom(1, 10000));
+        property(inner, "most", terms->servers.most, wholeFrom(1, 10000));
+        property(inner, "choose", terms->servers.choose, kdl::text);
+        property(inner, "checks", terms->servers.checks, kdl::duration);
+        inner.done();
+    }
     for (const kdl::Node* node : in.children("trouble"))
-        terms->troubles.push_back(readTrouble(*node, terms->backends));
+        terms->troubles.push_back(readTrouble(*node, terms->backends, terms->servers.count));
     in.done();
     std::vector<kdl::Node> loads;
     for (const kdl::Node& node : document)
@@ -143,11 +158,12 @@
     return terms;
 }
 
-// ---- the world ------------------------------------------------------------------------------------------
+// ---- the world
+// ------------------------------------------------------------------------------------------
 
 struct Experiment::Backend {
     std::string name;
-    net::Address listen, pool, records, registry;
+    net::Address listen, kiosks, pool, records, registry;
     std::unique_ptr<WorkerPool> workers;
     std::unique_ptr<Process> process;
     bool expectedToEnd = false, crashed = false, releasing = false;
@@ -165,6 +181,7 @@
     net::Loop loop;
     Books books;
     std::vector<Backend> backends;
+    std::vector<std::unique_ptr<ScgiServer>> servers;
     std::unique_ptr<RecordsService> records;
     std::unique_ptr<RegistryService> registry;
     std::vector<std::string> notes;  // what the world saw that no figure tells: a crash, a slow end
@@ -182,8 +199,8 @@
     std::error_code error;
     std::filesystem::create_directories(folder_, error);
     if (error) throw std::runtime_error(folder_ + " can't be made: " + error.message());
-    // A block of loopback addresses of this process's own, with fixed ports: a backend that starts again has
-    // the same, and nothing has to be guessed free.
+    // A block of loopback addresses of this process's own, with fixed ports: a
+    // backend that starts again has the same, and nothing has to be guessed free.
     const int mine = getpid();
     const std::string block =
         "127." + std::to_string(64 + mine % 128) + "." + std::to_string(mine / 128 % 250) + ".";
@@ -194,6 +211,7 @@
         Backend backend;
         backend.name = "n" + std::to_string(at + 1);
         const std::string host = block + std::to_string(at + 1);
+        backend.kiosks = {host, 9000};
         backend.listen = {host, 8080}, backend.pool = {host, 6100}, backend.records = {host, 9042};
         backend.registry = {block + "254", 7946};
         records.push_back(backend.records);
@@ -201,6 +219,17 @@
     }
     world_->registry = std::make_unique<RegistryService>(world_->loop, world_->backends[0].registry);
     world_->records = std::make_unique<RecordsService>(world_->loop, records, terms.records, world_->books);
+    for (std::size_t at = 0; at < terms.servers.count; ++at) {
+        ScgiServerTerms server;
+        server.slots = terms.servers.slots;
+        world_->servers.push_back(std::make_unique<ScgiServer>(
+            world_->loop, net::Address{block + std::to_string(100 + at), 9001}, server));
+        world_->servers.back()->onEnd([this](const std::string& trace) { world_->books.finished(trace); });
+        // Which gateway sent it the books know by the try.
+        world_->servers.back()->onRun([this](const std::string& trace, const std::string& first) {
+            world_->books.spawned(world_->books.instanceOf(trace), trace, first, steadyNow());
+        });
+    }
     for (std::size_t at = 0; at < terms.backends; ++at) {
         world_->backends[at].workers = std::make_unique<WorkerPool>(
             world_->loop, at, world_->backends[at].pool, terms.pool, world_->books);
@@ -277,11 +306,56 @@
         {"settings", settings}};
 }
 
+// The file that a gateway is started with.
+std::string Experiment::gatewayOf(std::size_t at) const {
+    const Backend& backend = world_->backends[at];
+    const PlanTerms& plan = terms_.load->plan;
+    const auto millis = [](Nanos time) { return std::to_string(time / 1ms) + "ms"; };
+    const auto quoted = [](const net::Address& address) {
+        return "\"" + address.host + ":" + std::to_string(address.port) + "\"";
+    };
+    std::string routes, profiles, customers, servers;
+    for (const Profile& profile : plan.profiles) {
+        if (!profile.claims.empty()) continue;
+        routes += "        route \"/" + profile.name + "/:subject\" profile=\"" + profile.name +
+                  "\" subject=\"subject\" customer=\"HTTP_X_CUSTOMER\"\n";
+        profiles += "    profile \"" + profile.name + "\" { worth " + Json(profile.worth).dump() +
+                    "; late-share " + Json(profile.lateShare).dump() + "; promised " +
+                    millis(profile.promised) + "; hard-stop " + millis(profile.hardStop) + "; repeat " +
+                    (profile.repeat == Repeat::Repeatable ? "repeatable" : "once-only") + " }\n";
+    }
+    for (std::uint64_t customer = 0; customer < plan.customers; ++customer)
+        customers += "    customer \"" + customerName(customer) + "\"\n";
+    for (const auto& server : world_->servers)
+        servers += "        server " + quoted(server->address()) +
+                   " most=" + std::to_string(terms_.servers.most) + "\n";
+    if (terms_.servers.checks > 0ns)
+        servers += "        checks " + millis(terms_.servers.checks) + " path=\"/health\"\n";
+    return "serve \"" + backend.name +
+           "\" {\n    limits memory=" + std::to_string(static_cast<int>(terms_.memoryMb)) +
+           "MiB sockets=" + std::to_string(static_cast<int>(terms_.sockets)) +
+           "\n    leave stop=" + millis(terms_.stop) + " grace=" + millis(terms_.grace) + "\n    seed " +
+           std::to_string(plan.seed * 1000 + at + 1) + "\n    thrift listen=" + quoted(backend.listen) +
+           "\n    scgi listen=" + quoted(backend.kiosks) + " {\n" + routes + "    }\n" + profiles +
+           customers + "    group \"servers\" {\n        choose \"" + terms_.servers.choose + "\"\n" +
+           servers + "    }\n}\n";
+}
+
+// A gateway says so in its log; a backend has bound its pool.
+bool Experiment::isUp(const Backend& backend) const {
+    if (terms_.servers.count == 0) return backend.workers->bound();
+    std::ifstream in(folder_ + "/" + backend.name + ".log");
+    std::string line, all;
+    while (std::getline(in, line)) all += line;
+    return all.find("serving") != std::string::npos;
+}
+
 void Experiment::startBackend(std::size_t at) {
     Backend& backend = world_->backends[at];
-    const std::string config = folder_ + "/" + backend.name + ".json";
+    const bool gateway = terms_.servers.count > 0;
+    const std::string config = folder_ + "/" + backend.name + (gateway ? ".kdl" : ".json");
     std::ofstream out(config);
-    out << configOf(at).dump(1) << "\n";
+    out << (gateway ? gatewayOf(at) : configOf(at).dump(1) + "\n");
     out.close();
     if (!out) throw std::runtime_error(config + " can't be written");
     backend.expectedToEnd = backend.crashed = false;
@@ -289,6 +363,7 @@
     world_->books.restarted(at);
     backend.process = std::make_unique<Process>(
         world_->loop, build_,
+        gateway ? std::vector<std::string>{"serve", config} : std::vector<std::string>{},
         std::map<std::string, std::string>{
             {"GW_NAME", backend.name},
             {"GW_LISTEN", backend.listen.host + ":" + std::to_string(backend.listen.port)},
@@ -307,7 +382,8 @@
 
 std::vector<std::size_t> Experiment::meant(const Trouble& trouble) const {
     if (!trouble.on.empty()) return trouble.on;
-    std::vector<std::size_t> all(terms_.backends);
+    std::vector<std::size_t> all(trouble.kind == Trouble::Kind::Server ? terms_.servers.count
+                                                                       : terms_.backends);
     for (std::size_t at = 0; at < all.size(); ++at) all[at] = at;
     if (trouble.share < 1)
         all.resize(std::max<std::size_t>(
@@ -324,6 +400,16 @@
             world.records->spoil(begins ? trouble.spoil : 0);
             if (trouble.down) world.records->down(begins);
             break;
+        case Trouble::Kind::Server:
+            for (const std::size_t at : meant(trouble)) {
+                ScgiServerTerms server = world.servers[at]->terms();
+                server.slow = begins ? trouble.slow : 1;
+                server.fault = begins && trouble.fails    ? ScgiFault::FailsFast
+                               : begins && trouble.silent ? ScgiFault::Silent
+                                                          : ScgiFault::None;
+                world.servers[at]->set(server);
+            }
+            break;
         case Trouble::Kind::Registry:
             world.registry->silent(begins && trouble.silent);
             break;
@@ -384,7 +470,8 @@
 ExperimentResult Experiment::run(const std::function<void(double, const Load&)>& progress,
                                  const bool* interrupted) {
     World& world = *world_;
-    // Up: each has bound its pool. What the first health checks see then is a working fleet.
+    // Up: each has bound its pool. What the first health checks see then is a
+    // working fleet.
     const auto turnUntil = [&](const std::function<bool()>& so, Nanos limit) {
         bool late = false, look = false;
         net::Timer watch(world.loop, [&] { late = true; });
@@ -398,18 +485,21 @@
     };
     const bool up = turnUntil(
         [&] {
-            return std::all_of(world.backends.begin(), world.backends.end(), [](const Backend& backend) {
-                return backend.workers->bound() || !backend.process->there();
+            return std::all_of(world.backends.begin(), world.backends.end(), [this](const Backend& backend) {
+                return isUp(backend) || !backend.process->there();
             });
         },
         20s);
     for (const Backend& backend : world.backends)
-        if (!up || !backend.process->there() || !backend.workers->bound())
+        if (!up || !backend.process->there() || !isUp(backend))
             throw std::runtime_error(backend.name + " did not come up; its words are in " + folder_ + "/" +
                                      backend.name + ".log");
     turnUntil([] { return false; }, 300ms);
 
-    for (const Backend& backend : world.backends) terms_.load->habits.targets.push_back(backend.listen);
+    for (const Backend& backend : world.backends) {
+        terms_.load->habits.targets.push_back(backend.listen);
+        terms_.load->habits.kiosks.push_back(backend.kiosks);
+    }
     std::vector<Watcher*> watchers = {&world.books};
     Load load(*terms_.load, watchers);
     const Nanos start = steadyNow() + 100ms;
@@ -548,6 +638,13 @@
                                    {"runs_started", backend.workers->spawns()},
                                    {"samples", samples}});
     }
+    Json servers = Json::array();
+    for (const auto& server : world.servers) {
+        work += server->workDone();
+        servers.push_back(
+            {{"requests", server->requests()}, {"work_s", server->workDone()}, {"left", server->left()}});
+    }
+    all["servers"] = servers;
     const double handled = world.books.handledWork();
     all["work"] = {{"done_core_s", work},
                    {"handled_core_s", handled},
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -1,5 +1,5 @@
-// An experiment: backends of a build, the emulated world around them, load, and a timeline of troubles; what
-// came of it, judged.
+// An experiment: backends of a build, the emulated world around them, load, and
+// a timeline of troubles; what came of it, judged.
 #pragma once
 
 #include <functional>
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "lab/emulate/scgi_server.h"
 #include "lab/emulate/services.h"
 #include "lab/emulate/worker_pool.h"
 #include "lab/load.h"
@@ -24,16 +25,27 @@
         LinkBreak,
         Reload,
         Release,
-        Registry
+        Registry,
+        Server
     } kind = Kind::Records;
     Nanos at{0}, lasts{0}, each{0};  // each: between two instances, of a release
     double slow = 1, hang = 0, spoil = 0, share = 1;
-    bool down = false, cold = true, silent = false;
+    bool down = false, cold = true, silent = false, fails = false;
     std::vector<std::size_t> on;  // instances; all where it is empty
     std::string text;             // as it stands in the file, for reports
 };
 
+// Where the backends are gateways before SCGI servers, in place of pools.
+struct ServersTerms {
+    std::size_t count = 0;  // 0: the backends have pools
+    int slots = 4;          // requests that one serves at once
+    int most = 16;          // that a gateway may have in flight there
+    std::string choose = "two-choices";
+    Nanos checks{0};
+};
+
 struct WorldTerms {
+    ServersTerms servers;
     std::string name = "experiment", about;
     std::size_t backends = 1;
     double cores = 1, memoryMb = 192, sockets = 1024;  // limits of the program
@@ -66,8 +78,9 @@
 
 class Experiment {
 public:
-    // build: the program; folder: where its logs and files go, made where it is not there. Throws
-    // std::runtime_error where a backend can't be started or does not come up.
+    // build: the program; folder: where its logs and files go, made where it is
+    // not there. Throws std::runtime_error where a backend can't be started or
+    // does not come up.
     Experiment(const WorldTerms& terms, std::string build, std::string folder);
     ~Experiment();
     // progress: seconds from the start, the load, called ten times a second.
@@ -79,7 +92,9 @@
     struct World;
     nlohmann::json configOf(std::size_t at) const;
     void play(const Trouble& trouble, bool begins);
+    std::string gatewayOf(std::size_t at) const;
     void startBackend(std::size_t at);
+    bool isUp(const Backend& backend) const;
     void sample(double at);
     nlohmann::json judged(LoadResult& result);
     std::vector<std::size_t> meant(const Trouble& trouble) const;
--- a/src/lab/latencies.cpp
+++ b/src/lab/latencies.cpp
@@ -12,7 +12,8 @@
 
 void Latencies::add(Nanos time) {
     const double seconds = std::max(0.0, std::chrono::duration<double>(time).count());
-    // Below the first bin it is told from nothing all the same; above the last one the most tells.
+    // Below the first bin it is told from nothing all the same; above the last
+    // one the most tells.
     table_(std::clamp(seconds, kLeast, kMost * (1 - 1e-9)));
     ++count_;
     sum_ += seconds;
--- a/src/lab/latencies.h
+++ b/src/lab/latencies.h
@@ -1,5 +1,6 @@
-// A histogram of times: logarithmic bins that are 0.4% wide, from a microsecond to a thousand seconds, in
-// bounded memory. Least, most, count and sum are exact.
+// A histogram of times: logarithmic bins that are 0.4% wide, from a microsecond
+// to a thousand seconds, in bounded memory. Least, most, count and sum are
+// exact.
 #pragma once
 
 #include <boost/histogram.hpp>
@@ -20,14 +21,16 @@
     void add(Nanos time);
     void add(const Latencies& other);
     std::uint64_t count() const { return count_; }
-    // In seconds; 0 where nothing was added. A quantile is off by half a bin at most.
+    // In seconds; 0 where nothing was added. A quantile is off by half a bin at
+    // most.
     double quantile(double part) const;
     double least() const { return count_ == 0 ? 0 : least_; }
     double most() const { return most_; }
     double mean() const { return count_ == 0 ? 0 : sum_ / static_cast<double>(count_); }
     // How many took longer than that, to the width of a bin.
     std::uint64_t above(double seconds) const;
-    // For a tail curve: (part of all that took longer, seconds), a point a quarter of a decade or less.
+    // For a tail curve: (part of all that took longer, seconds), a point a
+    // quarter of a decade or less.
     std::vector<std::pair<double, double>> tail() const;
 
 private:
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -57,6 +57,12 @@
     profile.hintError = in.setting("hint-error", kdl::share, profile.hintError);
     profile.failing = in.setting("failing", kdl::share, profile.failing);
     profile.claims = in.setting("claims", kdl::text, profile.claims);
+    if (const kdl::Node* const found = in.child("over")) {
+        kdl::Fields inner(*found);
+        profile.scgi = kdl::Fields::choice<bool>(inner.argument(0, "thrift or scgi"),
+                                                 {{"thrift", false}, {"scgi", true}});
+        inner.done();
+    }
     distribution("work", profile.work, secondsOf);
     distribution("call", profile.call, secondsOf);
     distribution("body", profile.body, bytesOf);
@@ -88,6 +94,15 @@
             for (const kdl::Value* value : inner.rest(0)) habits.targets.push_back(addressOf(*value));
             inner.done();
         }
+        if (const kdl::Node* const to = in.child("scgi")) {
+            kdl::Fields inner(*to);
+            for (const kdl::Value* value : inner.rest(0)) habits.kiosks.push_back(addressOf(*value));
+            inner.done();
+            if (habits.targets.empty()) habits.targets = habits.kiosks;
+            if (habits.kiosks.size() != habits.targets.size())
+                throw kdl::Problem(to->at, std::to_string(habits.kiosks.size()) + " addresses were found",
+                                   "as many as behind 'to' were expected, in the same order");
+        }
         if (habits.targets.empty())
             throw kdl::Problem(node.at, "'callers' was found without a server",
                                "'to \"127.0.0.1:8080\"' was expected in it");
@@ -244,6 +259,11 @@
     else if (targets)
         throw kdl::Problem(load->at, "'load' was found without callers",
                            "'callers 8 { to \"127.0.0.1:8080\" }' was expected in it");
+    for (const Profile& profile : plan.profiles)
+        if (profile.scgi && targets && terms->habits.kiosks.empty())
+            throw kdl::Problem(
+                load->at, "profile '" + profile.name + "' was found over scgi, and callers without 'scgi'",
+                "'scgi \"127.0.0.1:9000\"' was expected in callers");
     if (const kdl::Node* const found = in.child("send-within")) {
         kdl::Fields inner(*found);
         terms->sendWithin = kdl::duration(inner.argument(0, "a duration such as 1ms"));
@@ -254,7 +274,8 @@
     return terms;
 }
 
-// ---- the run --------------------------------------------------------------------------------------------
+// ---- the run
+// --------------------------------------------------------------------------------------------
 
 struct Load::Worker {
     Worker(const LoadTerms& terms, int number, const Clocks& clocks, Watcher* watcher)
@@ -380,9 +401,11 @@
     if (result.valid && terms_.habits.closed == 0 && result.withinShare < terms_.sendShare) {
         char text[200];
         std::snprintf(text, sizeof text,
-                      "only %.2f%% of the commands were sent within %.1f ms of their time, %.2f%% were asked "
+                      "only %.2f%% of the commands were sent within %.1f ms of "
+                      "their time, %.2f%% were asked "
                       "for: the machine "
-                      "was too busy for this load, or the servers opened connections too slowly",
+                      "was too busy for this load, or the servers opened "
+                      "connections too slowly",
                       result.withinShare * 100, static_cast<double>(terms_.sendWithin.count()) / 1e6,
                       terms_.sendShare * 100);
         result.valid = false;
@@ -391,7 +414,8 @@
     return result;
 }
 
-// ---- what is said of it ---------------------------------------------------------------------------------
+// ---- what is said of it
+// ---------------------------------------------------------------------------------
 
 namespace {
 
@@ -508,7 +532,8 @@
         const auto n = [&](End end) {
             return static_cast<unsigned long long>(ends[static_cast<std::size_t>(end)]);
         };
-        add("%-16s %9llu %9llu %7llu %8llu %9llu %9llu %9llu %7llu %9.2f %9.2f %9.2f %9.2f\n",
+        add("%-16s %9llu %9llu %7llu %8llu %9llu %9llu %9llu %7llu %9.2f %9.2f "
+            "%9.2f %9.2f\n",
             name.substr(0, 16).c_str(), static_cast<unsigned long long>(planned), n(End::Handled),
             n(End::Late), n(End::Bounced), n(End::Scrapped), n(End::NoAnswer), n(End::ConnectionLost),
             n(End::NeverSent), of.quantile(0.5) * 1e3, of.quantile(0.99) * 1e3, of.quantile(0.999) * 1e3,
@@ -523,7 +548,8 @@
         tries += tally.profiles[at].tries;
     }
     if (tally.profiles.size() > 1) row("all", tally.planned(), ends, tally.handled());
-    add("\ntries %llu; sent late by p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, at most %.3f ms (%.3f%% within "
+    add("\ntries %llu; sent late by p50 %.3f ms, p99 %.3f ms, p99.9 %.3f ms, at "
+        "most %.3f ms (%.3f%% within "
         "%.1f ms)\n",
         static_cast<unsigned long long>(tries), tally.lag.quantile(0.5) * 1e3, tally.lag.quantile(0.99) * 1e3,
         tally.lag.quantile(0.999) * 1e3, tally.lag.most() * 1e3, result.withinShare * 100,
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -1,4 +1,5 @@
-// A run of load: what a file says, several workers that send it, and one result that judges itself.
+// A run of load: what a file says, several workers that send it, and one result
+// that judges itself.
 #pragma once
 
 #include <functional>
@@ -18,13 +19,15 @@
     PlanTerms plan;
     Habits habits;
     int workers = 1;
-    // The run is invalid where more than the rest of this share was sent later than this after its time.
+    // The run is invalid where more than the rest of this share was sent later
+    // than this after its time.
     Nanos sendWithin{std::chrono::milliseconds(1)};
     double sendShare = 0.99;
     std::vector<kdl::Node> document;  // what plan.rate points into
 };
 
-// The `load` node of a file. targets: false where an experiment says them. Throws kdl::Problem.
+// The `load` node of a file. targets: false where an experiment says them.
+// Throws kdl::Problem.
 std::unique_ptr<LoadTerms> readLoad(const std::vector<kdl::Node>& document, const std::string& file,
                                     bool targets);
 
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -21,16 +21,17 @@
 using namespace cottonwing::lab;
 using namespace std::chrono_literals;
 
-// Turns a loop of its own until all is done, with a line of progress on a terminal; the first interrupt sends
-// nothing more, the second waits for nothing more.
+// Turns a loop of its own until all is done, with a line of progress on a
+// terminal; the first interrupt sends nothing more, the second waits for
+// nothing more.
 LoadResult play(const LoadTerms& terms) {
     Load load(terms);
     net::Loop loop;
     int interrupts = 0;
     const auto interrupted = [&] {
         if (++interrupts == 1) {
-            std::cerr
-                << "\ninterrupted: nothing more is sent, what is open may still end (again: stop at once)\n";
+            std::cerr << "\ninterrupted: nothing more is sent, what is open may "
+                         "still end (again: stop at once)\n";
             load.stop();
         } else {
             load.cut();
@@ -152,12 +153,14 @@
     std::vector<double> earned[2];
     std::uint64_t broken = 0;
     bool valid = true;
-    // In turn, on the same seeds: what changes in the machine meanwhile meets both.
+    // In turn, on the same seeds: what changes in the machine meanwhile meets
+    // both.
     for (int round = 0; round < wishes.rounds && !interrupted; ++round)
         for (int side = 0; side < (wishes.vs.empty() ? 1 : 2) && !interrupted; ++side) {
             terms->load->plan.seed = firstSeed + static_cast<std::uint64_t>(round);
             terms->records.seed = terms->load->plan.seed;
             terms->load->habits.targets.clear();
+            terms->load->habits.kiosks.clear();
             const std::string name = side == 0 ? "A" : "B";
             const std::string logs = folder + "/" + name + "-" + std::to_string(terms->load->plan.seed);
             Experiment experiment(*terms, side == 0 ? build : wishes.vs, logs);
@@ -166,7 +169,8 @@
                 [&](double now, const Load& load) {
                     if (shows)
                         std::fprintf(stderr,
-                                     "\r%s seed %llu  %5.1f of %.0f s  %llu due, %llu ended, %llu handled   ",
+                                     "\r%s seed %llu  %5.1f of %.0f s  %llu due, %llu ended, %llu "
+                                     "handled   ",
                                      name.c_str(), static_cast<unsigned long long>(terms->load->plan.seed),
                                      now, length, static_cast<unsigned long long>(load.planned()),
                                      static_cast<unsigned long long>(load.ended()),
@@ -180,13 +184,13 @@
             valid = valid && result.valid;
             const Json& load = result.figures["load"];
             char line[300];
-            std::snprintf(
-                line, sizeof line,
-                "%s seed %llu: earned %.1f%%, p99 %.0f ms, wasted %.1f%% of core time, %llu broken rules%s\n",
-                name.c_str(), static_cast<unsigned long long>(terms->load->plan.seed),
-                result.earnedShare * 100, load["latency"]["p99_ms"].get<double>(),
-                result.figures["work"]["wasted_share"].get<double>() * 100,
-                static_cast<unsigned long long>(result.broken), result.valid ? "" : ", INVALID");
+            std::snprintf(line, sizeof line,
+                          "%s seed %llu: earned %.1f%%, p99 %.0f ms, wasted %.1f%% of core "
+                          "time, %llu broken rules%s\n",
+                          name.c_str(), static_cast<unsigned long long>(terms->load->plan.seed),
+                          result.earnedShare * 100, load["latency"]["p99_ms"].get<double>(),
+                          result.figures["work"]["wasted_share"].get<double>() * 100,
+                          static_cast<unsigned long long>(result.broken), result.valid ? "" : ", INVALID");
             if (wishes.json != "-") std::cout << line << std::flush;
             for (const Json& example : result.figures["broken"]["examples"])
                 std::cerr << "  " << example.get<std::string>() << "\n";
@@ -283,12 +287,14 @@
 
 int main(int argc, char** argv) {
     CLI::App app(
-        "cottonwing_lab: load on a schedule that waits for nobody, and experiments in an emulated world.",
+        "cottonwing_lab: load on a schedule that waits for nobody, and "
+        "experiments in an emulated world.",
         "cottonwing_lab");
     app.set_version_flag("--version", "cottonwing_lab " COTTONWING_VERSION);
     app.require_subcommand(1);
     app.footer(
-        "Exit codes: 0 done, 1 failed (an invalid run and a broken rule too), 2 told something wrong.");
+        "Exit codes: 0 done, 1 failed (an invalid run and a broken rule "
+        "too), 2 told something wrong.");
 
     std::string file, json, exported, to, listen = "127.0.0.1:8080";
     std::int64_t seed = -1;
@@ -313,12 +319,14 @@
     answers->add_option("--takes-ms", takes, "milliseconds that an answer takes");
     answers->footer("Example:\n  cottonwing_lab answer --listen 127.0.0.1:8080 --takes-ms 5");
     std::vector<std::string> listens;
-    CLI::App* const scgis = app.add_subcommand(
-        "scgi", "SCGI servers that answer every request, to stand behind cottonwing serve");
+    CLI::App* const scgis = app.add_subcommand("scgi",
+                                               "SCGI servers that answer every request, to "
+                                               "stand behind cottonwing serve");
     scgis->add_option("--listen", listens, "where to listen; may be given several times")->required();
     scgis->add_option("--takes-ms", takes, "milliseconds that an answer takes");
     scgis->footer(
-        "Example:\n  cottonwing_lab scgi --listen 127.0.0.1:9001 --listen 127.0.0.1:9002 --takes-ms 5");
+        "Example:\n  cottonwing_lab scgi --listen 127.0.0.1:9001 "
+        "--listen 127.0.0.1:9002 --takes-ms 5");
 
     RunWishes wishes;
     CLI::App* const runs =
@@ -330,11 +338,14 @@
     runs->add_option("--rounds", wishes.rounds, "how many seeds")->check(CLI::Range(1, 1000));
     runs->add_option("--seed", wishes.seed, "the first seed, in place of the file's");
     runs->add_option("--to", wishes.folder,
-                     "folder for figures, report and logs; lab-results/NAME where none is named");
+                     "folder for figures, report and logs; lab-results/NAME "
+                     "where none is named");
     runs->add_option("--json", wishes.json, "write all figures there too; - for standard output");
     runs->footer(
-        "Examples:\n  cottonwing_lab run deploy/lab/morning-spike.kdl\n  cottonwing_lab run "
-        "deploy/lab/morning-spike.kdl --vs ../before/build/cottonwing --rounds 5");
+        "Examples:\n  cottonwing_lab run deploy/lab/morning-spike.kdl\n "
+        " cottonwing_lab run "
+        "deploy/lab/morning-spike.kdl --vs ../before/build/cottonwing "
+        "--rounds 5");
 
     std::string folder, other;
     CLI::App* const reports =
--- a/src/lab/pace.h
+++ b/src/lab/pace.h
@@ -1,5 +1,5 @@
-// A timer finer than the loop's whole milliseconds, on the system's own: wakes within some tens of
-// microseconds.
+// A timer finer than the loop's whole milliseconds, on the system's own: wakes
+// within some tens of microseconds.
 #pragma once
 
 #include <functional>
--- a/src/lab/plan.cpp
+++ b/src/lab/plan.cpp
@@ -74,7 +74,8 @@
     std::uint64_t number_ = 0;
 };
 
-// Columns of a trace: a time may be given in any of these units, by the end of its name.
+// Columns of a trace: a time may be given in any of these units, by the end of
+// its name.
 const std::vector<std::pair<std::string, double>> kEndings = {
     {"_ns", 1}, {"_us", 1e3}, {"_ms", 1e6}, {"_s", 1e9}};
 
@@ -90,8 +91,9 @@
             names_[terms.profiles[at].name] = static_cast<int>(at);
     }
 
-    // Copies lie in the gap behind their original, so rows come out by time through a short queue: it holds
-    // what lies before the row that was read last.
+    // Copies lie in the gap behind their original, so rows come out by time
+    // through a short queue: it holds what lies before the row that was read
+    // last.
     std::optional<Planned> next() override {
         while (!ended_ && (waiting_.empty() || waiting_.top().at > horizon_)) readRow();
         if (waiting_.empty()) return std::nullopt;
@@ -130,7 +132,8 @@
             if (text.front() != '{' && columns_.empty()) return readHeader(text);
             Planned planned = plannedOf(text.front() == '{' ? fromJson(text) : fromCsv(text));
             if (planned.at < last_)
-                bad("a time before that of an earlier line was found, times that never go back were "
+                bad("a time before that of an earlier line was found, times that never "
+                    "go back were "
                     "expected");
             last_ = planned.at;
             if (planned.at < trace_.from || planned.at >= trace_.until) return;
@@ -176,8 +179,10 @@
                                                             "call", "rank",    "fails"};
             if (std::find(kNames.begin(), kNames.end(), base) == kNames.end())
                 bad("the column '" + name +
-                    "' was found, one of time_s, profile, customer, subject, cost_ms, size, "
-                    "held_kb, patience_ms, mark, hint_ms, call_ms, rank, fails was expected");
+                    "' was found, one of time_s, profile, customer, subject, cost_ms, "
+                    "size, "
+                    "held_kb, patience_ms, mark, hint_ms, call_ms, rank, fails was "
+                    "expected");
             static const std::vector<std::string> kTimes = {"time", "cost", "patience", "hint", "call"};
             if (base == name && std::find(kTimes.begin(), kTimes.end(), base) != kTimes.end())
                 bad("the column '" + name + "' was found without a unit, " + name +
@@ -325,7 +330,8 @@
     if (!out_)
         throw kdl::Problem({path, 0, 0}, "the trace can't be written: " + std::string(std::strerror(errno)));
     for (const Profile& profile : profiles) names_.push_back(profile.name);
-    out_ << "time_ns,profile,customer,subject,cost_ns,hint_ns,call_ns,patience_ns,size,held_kb,rank,mark,"
+    out_ << "time_ns,profile,customer,subject,cost_ns,hint_ns,call_ns,patience_"
+            "ns,size,held_kb,rank,mark,"
             "fails\n";
 }
 
--- a/src/lab/plan.h
+++ b/src/lab/plan.h
@@ -1,5 +1,6 @@
-// What is sent: the commands of a run with all that they say, drawn from a seed or read from a trace. A plan
-// is a stream; the same file and seed give the same commands on any machine and for any number of workers.
+// What is sent: the commands of a run with all that they say, drawn from a seed
+// or read from a trace. A plan is a stream; the same file and seed give the
+// same commands on any machine and for any number of workers.
 #pragma once
 
 #include <fstream>
@@ -29,6 +30,7 @@
     Distribution patience = Distribution::always(0);  // seconds; 0: the hard stop
     double hintError = 0.3;                           // the hint of its work is off by a factor of e^±this
     double failing = 0;                               // part of the runs that fail by themselves
+    bool scgi = false;                                // its callers are kiosks
     std::string claims;                               // another profile that it says it is of, if any
 };
 
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -17,13 +17,14 @@
     bool there = false, mine = true;
 };
 
-Process::Process(net::Loop& loop, const std::string& program,
+Process::Process(net::Loop& loop, const std::string& program, std::vector<std::string> words,
                  const std::map<std::string, std::string>& environment, const std::string& output,
                  std::function<void(int, int)> ended)
     : handle_(new Handle{{}, std::move(ended), false, true}) {
     std::vector<std::string> variables;
     for (const auto& [name, value] : environment) variables.push_back(name + "=" + value);
-    // What the tools around a build need of ours: sanitizers' options, and where libraries are.
+    // What the tools around a build need of ours: sanitizers' options, and where
+    // libraries are.
     for (const char* name : {"PATH", "ASAN_OPTIONS", "UBSAN_OPTIONS", "LD_LIBRARY_PATH", "TMPDIR"})
         if (const char* value = std::getenv(name)) variables.push_back(std::string(name) + "=" + value);
     std::vector<char*> each;
@@ -35,14 +36,16 @@
         throw std::runtime_error(output + " can't be written: " + std::strerror(errno));
     }
     std::string name = program;
-    char* arguments[] = {name.data(), nullptr};
+    std::vector<char*> arguments = {name.data()};
+    for (std::string& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
     uv_stdio_container_t streams[3];
     streams[0].flags = UV_IGNORE;
     streams[1].flags = streams[2].flags = UV_INHERIT_FD;
     streams[1].data.fd = streams[2].data.fd = file;
     uv_process_options_t options{};
     options.file = program.c_str();
-    options.args = arguments;
+    options.args = arguments.data();
     options.env = each.data();
     options.stdio = streams;
     options.stdio_count = 3;
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -98,7 +98,8 @@
     } else if (high <= low) {
         high = low + 1;
     }
-    // To the right the tail falls from all to one in many: at equal widths for each factor of ten.
+    // To the right the tail falls from all to one in many: at equal widths for
+    // each factor of ten.
     const Scale across = plot.tail ? Scale{right, left, kLeft, kWidth - kLeft - kRight, true}
                                    : Scale{left, right, kLeft, kWidth - kLeft - kRight, false};
     const Scale up{low, high * (plot.logarithmic ? 1 : 1.05), kHeight - kBottom, -(kHeight - kTop - kBottom),
--- a/src/lab/report.h
+++ b/src/lab/report.h
@@ -1,5 +1,5 @@
-// One self-contained page of what an experiment showed: tables, and plots as inline SVG; A beside B where two
-// builds were played.
+// One self-contained page of what an experiment showed: tables, and plots as
+// inline SVG; A beside B where two builds were played.
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
@@ -8,8 +8,8 @@
 
 namespace cottonwing::lab {
 
-// runs: the figures of experiments as they were written, in the order they were played, of one build or of
-// two
+// runs: the figures of experiments as they were written, in the order they were
+// played, of one build or of two
 // ("side" is "A" or "B"). Throws std::runtime_error where a figure is missing.
 std::string pageOf(const nlohmann::json& results);
 
@@ -27,7 +27,8 @@
     std::vector<Curve> curves;
     std::vector<Band> bands;
     bool logarithmic = false;  // the axis upwards
-    bool tail = false;         // the axis to the right is a part that took longer, logarithmic, falling
+    bool tail = false;         // the axis to the right is a part that took longer,
+                               // logarithmic, falling
 };
 std::string svgOf(const Plot& plot);
 
--- a/src/lab/shape.cpp
+++ b/src/lab/shape.cpp
@@ -109,9 +109,9 @@
     } else if (node.name == "times") {
         result = together(in, true, factors, seed, number);
     } else {
-        throw kdl::Problem(
-            node.at, "'" + node.name + "' was found",
-            "one of steady, ramp, climb, spike, wave, steps, bursts, plus, times was expected");
+        throw kdl::Problem(node.at, "'" + node.name + "' was found",
+                           "one of steady, ramp, climb, spike, wave, steps, "
+                           "bursts, plus, times was expected");
     }
     in.done();
     return result;
@@ -124,9 +124,9 @@
     for (const kdl::Node* part : node.anyChildren())
         result->parts.push_back(one(*part, factors || (multiplies && !result->parts.empty()), seed, number));
     if (result->parts.empty())
-        throw kdl::Problem(
-            node.node().at, "'" + node.node().name + "' was found with nothing in it",
-            "one of steady, ramp, climb, spike, wave, steps, bursts, plus, times was expected in it");
+        throw kdl::Problem(node.node().at, "'" + node.node().name + "' was found with nothing in it",
+                           "one of steady, ramp, climb, spike, wave, steps, "
+                           "bursts, plus, times was expected in it");
     return result;
 }
 
@@ -145,8 +145,9 @@
     owed_ = spacing_ == Spacing::Poisson ? drawExponential(chance_) : 0.5;
 }
 
-// The time at which the integral of the rate has grown by what is owed: 1 for even spacing, exponential for
-// Poisson; piece by piece, each with the rate in its middle.
+// The time at which the integral of the rate has grown by what is owed: 1 for
+// even spacing, exponential for Poisson; piece by piece, each with the rate in
+// its middle.
 std::optional<Nanos> Arrivals::next() {
     while (true) {
         if (at_ >= sliceEnd_) {
--- a/src/lab/shape.h
+++ b/src/lab/shape.h
@@ -1,5 +1,6 @@
-// How many commands a second come, and when each of them does: rates over time, added up and multiplied, and
-// arrivals drawn from them ahead of time. Nothing that comes back changes an arrival.
+// How many commands a second come, and when each of them does: rates over time,
+// added up and multiplied, and arrivals drawn from them ahead of time. Nothing
+// that comes back changes an arrival.
 #pragma once
 
 #include <memory>
@@ -17,16 +18,17 @@
     virtual double at(double seconds) = 0;  // commands a second, or a plain factor
     // The parts of a `rate` node, added up; throws kdl::Problem.
     //   steady 200/s
-    //   ramp from=100/s to=800/s at=5s over=30s          a straight line, held after it
-    //   climb from=100/s to=800/s at=5s over=30s         an evening climb: slow, steep, slow
-    //   spike to=900/s at=20s rise=1s hold=10s fall=5s   a sudden morning
-    //   wave mean=200/s swing=100/s period=20s
-    //   steps 100/s 200/s 400/s each=10s                 the last one stays
-    //   bursts on=800/s off=50/s stay-on=2s stay-off=8s  on and off for random times (Markov-modulated)
-    //   plus { … }                                       its parts added up
-    //   times { … }                                      its parts multiplied; the first is a rate, factors
-    //   follow
-    // Inside `times` a value without unit is a factor: steady 1.5, wave mean=1 swing=0.3 period=10s.
+    //   ramp from=100/s to=800/s at=5s over=30s          a straight line, held
+    //   after it climb from=100/s to=800/s at=5s over=30s         an evening
+    //   climb: slow, steep, slow spike to=900/s at=20s rise=1s hold=10s fall=5s
+    //   a sudden morning wave mean=200/s swing=100/s period=20s steps 100/s 200/s
+    //   400/s each=10s                 the last one stays bursts on=800/s
+    //   off=50/s stay-on=2s stay-off=8s  on and off for random times
+    //   (Markov-modulated) plus { … }                                       its
+    //   parts added up times { … }                                      its parts
+    //   multiplied; the first is a rate, factors follow
+    // Inside `times` a value without unit is a factor: steady 1.5, wave mean=1
+    // swing=0.3 period=10s.
     static std::unique_ptr<Shape> of(kdl::Fields& node, std::uint64_t seed);
 };
 
--- a/src/lab/sidecar_thrift.cpp
+++ b/src/lab/sidecar_thrift.cpp
@@ -48,7 +48,8 @@
     if (kind == kException) return heard;
     if (kind != kReply || (name != "serve" && name != "isWell")) return std::nullopt;
     bool seen = false, whole = true;
-    // The result is a struct with one field: the answer, or one of the exceptions.
+    // The result is a struct with one field: the answer, or one of the
+    // exceptions.
     in.fields([&](std::int16_t id, std::uint8_t type) {
         if (type != kStruct || id < 0 || id > 2 || seen) return false;
         seen = true;
--- a/src/lab/sidecar_thrift.h
+++ b/src/lab/sidecar_thrift.h
@@ -1,4 +1,5 @@
-// The sidecars' side of the Thrift front: commands, forgets and health checks written, answers read. Pure.
+// The sidecars' side of the Thrift front: commands, forgets and health checks
+// written, answers read. Pure.
 #pragma once
 
 #include <optional>
@@ -23,7 +24,8 @@
 std::string writeForget(std::int32_t sequence, std::int32_t which);
 std::string writeIsWell(std::int32_t sequence, bool thorough);
 
-// The content of one frame; nothing when it is none that a server of ours may send.
+// The content of one frame; nothing when it is none that a server of ours may
+// send.
 std::optional<Heard> readHeard(std::string_view frame);
 
 }  // namespace cottonwing::lab
--- a/src/lab/tally.h
+++ b/src/lab/tally.h
@@ -1,5 +1,6 @@
-// What became of the commands of a run: each ends in one way, the ways add up, and the run says of itself how
-// late it sent. Merged over workers; bounded whatever the run's length.
+// What became of the commands of a run: each ends in one way, the ways add up,
+// and the run says of itself how late it sent. Merged over workers; bounded
+// whatever the run's length.
 #pragma once
 
 #include <array>
@@ -22,7 +23,8 @@
     std::uint64_t planned = 0, tries = 0;
     double worth = 0, earned = 0;  // of all planned; of those handled
     Latencies fromSchedule,
-        fromWrite;  // of what was handled: no coordinated omission; and as a plain client counts
+        fromWrite;  // of what was handled: no coordinated omission; and as a plain
+                    // client counts
     std::uint64_t ended() const;
     void add(const ProfileTally& other);
 };
@@ -36,8 +38,8 @@
     void add(const Stretch& other);
 };
 
-// A run in stretches of equal width: a second each at first. Full, it joins two to one, so that its memory is
-// bounded and it still covers all of the run.
+// A run in stretches of equal width: a second each at first. Full, it joins two
+// to one, so that its memory is bounded and it still covers all of the run.
 class Series {
 public:
     static constexpr std::size_t kMost = 600;
@@ -75,8 +77,8 @@
 struct Tally {
     explicit Tally(const std::vector<Profile>& profiles);
     std::vector<ProfileTally> profiles;
-    Latencies lag;  // from a command's time to the write of its first bytes, or to when it was found that it
-                    // can't be
+    Latencies lag;  // from a command's time to the write of its first bytes, or to
+                    // when it was found that it can't be
     Series series;
     Broken broken;
     Links links;
--- a/src/upstreams/scgi/groups.cpp
+++ b/src/upstreams/scgi/groups.cpp
@@ -99,7 +99,8 @@
             if (server.gone || server.leaving) continue;
             const auto still = listed(server.terms.at);
             if (still == terms.servers.end()) {
-                // It gets nothing new; its place is free for another once nothing of it is in flight.
+                // It gets nothing new; its place is free for another once nothing of it
+                // is in flight.
                 server.leaving = true;
                 group.choice.remove(at);
                 ++removed;
@@ -196,8 +197,8 @@
     ++group.servers[*chosen].flying;
     group.choice.began(*chosen);
     group.members.began(*chosen, at);
-    // With attempts left and what may be repeated an attempt gets half of what is left, so that another can
-    // follow.
+    // With attempts left and what may be repeated an attempt gets half of what is
+    // left, so that another can follow.
     const bool more = job.attempts < group.terms.attempts.most &&
                       profiles_[static_cast<std::size_t>(job.profile)].repeat == Repeat::Repeatable;
     const Nanos until = more ? at + (job.due - at) / 2 : job.due;
@@ -326,13 +327,13 @@
         return agenda(id, job, verdict.at);
     }
     log_.debug("group", job.name + " not tried again (" + decide::nameOf(verdict.why) + "): " + why);
-    // What a server said of its failure is said on as it is; a caller of another protocol gets the failure
-    // alone.
+    // What a server said of its failure is said on as it is; a caller of another
+    // protocol gets the failure alone.
     if (!job.said.empty() && job.form == backend::Form::Scgi) return finish(id, Outcome::Ok, job.said);
     finish(id, Outcome::Error, {});
 }
 
-void ScgiGroups::finish(CommandId id, Outcome outcome, const std::string& result) {
+void ScgiGroups::finish(CommandId id, Outcome outcome, std::string result) {
     const auto at = jobs_.find(id);
     Job job = std::move(at->second);
     agenda_.erase({job.at, id});
@@ -349,7 +350,8 @@
 }
 
 void ScgiGroups::sendWaiting(Group& group, Nanos at) {
-    // Each of those that wait is looked at once; one that still finds nobody is behind the others again.
+    // Each of those that wait is looked at once; one that still finds nobody is
+    // behind the others again.
     for (std::size_t left = group.waiting.size(); left > 0; --left) {
         const CommandId id = group.waiting.front();
         Job& job = jobs_.at(id);
@@ -358,7 +360,8 @@
         begin(id, at);
         const auto still = jobs_.find(id);
         if (still == jobs_.end() || !still->second.waits) continue;
-        // Nobody may be used: it stays in front, and those behind it need not be looked at.
+        // Nobody may be used: it stays in front, and those behind it need not be
+        // looked at.
         group.waiting.pop_back();
         group.waiting.push_front(id);
         return;
--- a/src/upstreams/scgi/groups.h
+++ b/src/upstreams/scgi/groups.h
@@ -1,6 +1,7 @@
-// Groups of SCGI servers that run commands, in place of a worker pool: a connection for each attempt, as the
-// protocol has it. Which server, who is left out, how many at once, what is tried again is decided in
-// src/decide; here it is carried out.
+// Groups of SCGI servers that run commands, in place of a worker pool: a
+// connection for each attempt, as the protocol has it. Which server, who is
+// left out, how many at once, what is tried again is decided in src/decide;
+// here it is carried out.
 #pragma once
 
 #include <deque>
@@ -43,7 +44,8 @@
 
 // What all groups together may take.
 struct GroupBounds {
-    std::size_t connections = 256, reply = 1 << 20, bytes = 32 << 20;  // reply: of one; bytes: in all rings
+    std::size_t connections = 256, reply = 1 << 20,
+                bytes = 32 << 20;  // reply: of one; bytes: in all rings
 };
 
 struct GroupCounts {
@@ -66,8 +68,8 @@
     void askGauges() override;
     void verify(std::function<void(std::optional<bool>)> told) override;
 
-    // The same groups with other servers: added ones start slowly, removed ones keep what they have in
-    // flight. Returns how many were added and removed.
+    // The same groups with other servers: added ones start slowly, removed ones
+    // keep what they have in flight. Returns how many were added and removed.
     std::pair<std::size_t, std::size_t> change(const std::vector<GroupTerms>& groups);
 
     std::size_t flying() const { return lines_.size() - checks_; }
@@ -90,7 +92,8 @@
         decide::Choice choice;
         decide::Budget budget;
         std::vector<Server> servers;    // by the members' places
-        std::deque<CommandId> waiting;  // for a server that may be used; emptied by that, by time and halts
+        std::deque<CommandId> waiting;  // for a server that may be used; emptied by
+                                        // that, by time and halts
     };
     struct Job {
         std::string name, request;
@@ -110,7 +113,8 @@
     void pump();
     void begin(CommandId id, Nanos now);
     void attemptFailed(CommandId id, decide::Began began, Nanos now, const char* why);
-    void finish(CommandId id, Outcome outcome, const std::string& result);
+    // The result by value: it may be the job's own, which ends here.
+    void finish(CommandId id, Outcome outcome, std::string result);
     void replied(Line& line);
     void lineEnded(Line& line, net::ConnectionEnd end);
     void release(Line& line, std::optional<Nanos> took, Nanos now);
--- a/tests/scgi_test.cpp
+++ b/tests/scgi_test.cpp
@@ -1,5 +1,6 @@
-// SCGI: its bytes in any pieces, routes against a plain list, the learned limit, and the gateway on sockets
-// with kiosks in front and servers behind that do all that servers do.
+// SCGI: its bytes in any pieces, routes against a plain list, the learned
+// limit, and the gateway on sockets with kiosks in front and servers behind
+// that do all that servers do.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -24,7 +25,8 @@
 
 int upTo(int most) { return *rc::gen::resize(1000, rc::gen::inRange(0, most + 1)); }
 
-// ---- bytes ----------------------------------------------------------------------------------------------
+// ---- bytes
+// ----------------------------------------------------------------------------------------------
 
 RC_GTEST_PROP(ScgiBytes, ARequestIsTheSameInAnyPieces, ()) {
     scgi::Headers headers = {{"REQUEST_METHOD", "POST"},
@@ -108,9 +110,11 @@
     EXPECT_EQ(stateOf("", true), State::Bad);
 }
 
-// ---- routes and limits ----------------------------------------------------------------------------------
+// ---- routes and limits
+// ----------------------------------------------------------------------------------
 
-// The trie takes the same route as a look at each in turn, for any routes, paths, methods and headers.
+// The trie takes the same route as a look at each in turn, for any routes,
+// paths, methods and headers.
 RC_GTEST_PROP(RoutesTaken, AsByLookingAtEachInTurn, ()) {
     static const std::vector<std::string> kWords = {"a", "b", "c", "", ":x", ":y"};
     decide::Routes trie;
@@ -151,8 +155,9 @@
     EXPECT_THROW(routes.add({"nowhere", {}, {}, 0}), std::invalid_argument);
 }
 
-// A server that bears eight at once, each answer exponential: the limit comes near, stays in bounds, and
-// under steady load does not swing by more than half.
+// A server that bears eight at once, each answer exponential: the limit comes
+// near, stays in bounds, and under steady load does not swing by more than
+// half.
 TEST(LearnedLimit, FindsWhatAServerBearsAndStaysThere) {
     std::mt19937 chance(3);
     std::exponential_distribution<double> work(1 / 0.01);
@@ -176,7 +181,8 @@
     EXPECT_TRUE(limit.allows(0));
 }
 
-// ---- the gateway ----------------------------------------------------------------------------------------
+// ---- the gateway
+// ----------------------------------------------------------------------------------------
 
 // A kiosk: one request, one answer, one connection.
 struct Kiosk : net::Owner {
@@ -227,7 +233,8 @@
     ~Hall() { std::remove(path.c_str()); }
     void write(const std::string& front, const std::string& group) {
         std::string text =
-            "serve \"hall\" {\n leave stop=1500ms grace=300ms; seed 7; thrift listen=\"127.0.0.1:0\"\n scgi "
+            "serve \"hall\" {\n leave stop=1500ms grace=300ms; seed "
+            "7; thrift listen=\"127.0.0.1:0\"\n scgi "
             "listen=\"127.0.0.1:0\" " +
             front + " {" + kRoutes + " group \"halls\" {" + group + "\n";
         for (const auto& server : servers)
@@ -267,8 +274,7 @@
                {{"HTTP_X_TRACE", "00000000000000ab"}, {"HTTP_X_PATIENCE_MS", "900"}, {"HTTP_ODD", "kept"}},
                "body");
     until(hall.loop, [&] { return kiosk->gone; });
-    EXPECT_EQ(kiosk->text,
-              scgi::writeReply(200, {{"Content-Type", "text/plain"}}, "answer to 00000000000000ab"));
+    EXPECT_EQ(kiosk->text, scgi::writeReply(200, {{"Content-Type", "text/plain"}}, "ok 00000000000000ab"));
     const auto& headers = hall.servers[0]->lastHeaders();
     EXPECT_EQ(scgi::headerOf(headers, "HTTP_ODD"), std::string_view("kept"));
     EXPECT_EQ(hall.servers[0]->lastBody(), "body");
@@ -284,15 +290,15 @@
     testing::Sidecar sidecar(hall.loop, hall.gateway->thrift()->port());
     const auto sequence = sidecar.ask(7, "plain bytes", "cause-list", 1500);
     until(hall.loop, [&] { return sidecar.answers.contains(sequence); });
-    EXPECT_EQ(sidecar.answers.at(sequence).body, "answer to 0000000000000007");
+    EXPECT_EQ(sidecar.answers.at(sequence).body, "ok 0000000000000007");
     EXPECT_EQ(hall.servers[0]->lastBody(), "plain bytes");
     EXPECT_EQ(hall.asked("/board/3").substr(0, 11), "Status: 200");
     EXPECT_EQ(hall.counters.of(report::Count::Handled), 2U);
     hall.expectBooksClosed();
 }
 
-// Each fault of a server costs its own attempt: another answers what may be asked again; what is once-only
-// fails and never runs twice.
+// Each fault of a server costs its own attempt: another answers what may be
+// asked again; what is once-only fails and never runs twice.
 TEST(Gateway, FaultsOfServersCostOneAttemptAndOnceOnlyNeverRunsTwice) {
     for (const ScgiFault fault : {ScgiFault::Half, ScgiFault::Twice, ScgiFault::BadStatus, ScgiFault::TooMuch,
                                   ScgiFault::Breaks, ScgiFault::FailsFast}) {
@@ -312,6 +318,15 @@
     }
 }
 
+// What a server said of its failure is said on when nothing is tried again; it
+// was read after its job had gone.
+TEST(Gateway, AServersOwnFailureIsSaidOnUnchanged) {
+    Hall hall({{0ns, 1000, ScgiFault::FailsFast}});
+    for (int n = 0; n < 3; ++n)
+        EXPECT_EQ(hall.asked("/filing/1", "POST", "once"), scgi::writeReply(503, {}, "not now"));
+    hall.expectBooksClosed();
+}
+
 TEST(Gateway, AServerThatSaysNothingIsGivenUpInTime) {
     Hall hall({{0ns, 1000, ScgiFault::Silent}});
     const auto kiosk = hall.kiosk();
@@ -347,7 +362,8 @@
 
 TEST(Gateway, WrongRequestsCostTheirOwnConnectionAlone) {
     Hall hall({lab::ScgiServerTerms{}},
-              "head-at-most=1KiB body-at-most=1KiB head-within=200ms body-within=200ms");
+              "head-at-most=1KiB body-at-most=1KiB "
+              "head-within=200ms body-within=200ms");
     const auto told = [&](const std::string& bytes) {
         const auto kiosk = hall.kiosk();
         kiosk->connection->send(bytes);
@@ -364,8 +380,9 @@
     EXPECT_EQ(hall.servers[0]->requests(), 1U);
 }
 
-// The body comes while the notice does. Whole before the grace is over it runs; whole after it, it is
-// answered and never run; never whole, it is answered before the stop.
+// The body comes while the notice does. Whole before the grace is over it runs;
+// whole after it, it is answered and never run; never whole, it is answered
+// before the stop.
 TEST(Gateway, ABodyThatArrivesSlowlyWhileTheNoticeComes) {
     Hall hall({lab::ScgiServerTerms{}});
     const std::string bytes =
