--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -138,6 +138,11 @@
         property(inner, "linger", records.linger, kdl::duration);
         inner.done();
     }
+    if (const kdl::Node* const found = in.child("registry")) {
+        kdl::Fields inner(*found);
+        property(inner, "late", terms->registryLate, kdl::duration);
+        inner.done();
+    }
     if (const kdl::Node* const found = in.child("servers")) {
         kdl::Fields inner(*found);
         terms->servers.count = static_cast<std::size_t>(kdl::whole(inner.argument(0, "how many"), 1, 150));
@@ -217,7 +222,8 @@
         records.push_back(backend.records);
         world_->backends.push_back(std::move(backend));
     }
-    world_->registry = std::make_unique<RegistryService>(world_->loop, world_->backends[0].registry);
+    world_->registry =
+        std::make_unique<RegistryService>(world_->loop, world_->backends[0].registry, terms.registryLate);
     world_->records = std::make_unique<RecordsService>(world_->loop, records, terms.records, world_->books);
     for (std::size_t at = 0; at < terms.servers.count; ++at) {
         ScgiServerTerms server;
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -55,6 +55,7 @@
     PoolTerms pool;
     RecordsTerms records;
     double runFactor = 4;
+    Nanos registryLate{0};  // its answers
     std::vector<Trouble> troubles;
     std::unique_ptr<LoadTerms> load;
 };
--- a/tests/lab_world_test.cpp
+++ b/tests/lab_world_test.cpp
@@ -297,6 +297,8 @@
     backends 2 stop=1500ms grace=300ms
     pool cores=2 heap=40MiB pieces-every=7 twice-every=11
     records slots=10 share=12
+    registry late=300ms
+    trouble "registry" at=1s for=1s silent=#true
     trouble "records" at=500ms for=1s slow=4 hang=5% spoil=5%
     trouble "link-break" at=800ms on=1
     trouble "reload" at=900ms
@@ -333,6 +335,7 @@
     EXPECT_EQ(sum, load["planned"].get<std::uint64_t>());
     EXPECT_GT(result.earnedShare, 0.3);
     EXPECT_GT(result.figures["records"]["calls"].get<int>(), 0);
+    EXPECT_GT(result.figures["registry_reports"].get<int>(), 0);
     for (const auto& backend : result.figures["backends"]) EXPECT_GT(backend["runs_started"].get<int>(), 0);
 
     nlohmann::json results = {{"plays", nlohmann::json::array({result.figures, result.figures})}};
