Settings' properties are read in one place; what nothing reads is gone

Change: Fields::property with a place to read into, and kdl::wholeFrom, in src/kdl/fields.h; unread members of the gateway's parts and a condition that was always true are removed. Behaviour is as it was.

--- a/src/fronts/scgi/front.h
+++ b/src/fronts/scgi/front.h
@@ -21,7 +21,6 @@
     int profile = 0;
     std::string subject;  // a `:name` of the path, or a header
     std::string customerHeader;
-    std::string group;
 };
 
 struct ScgiFrontTerms {
--- a/src/kdl/fields.h
+++ b/src/kdl/fields.h
@@ -25,6 +25,10 @@
 std::int64_t whole(const Value& value, std::int64_t least, std::int64_t most);
 const std::string& text(const Value& value);
 bool truth(const Value& value);
+// whole() for a setting or a property.
+inline auto wholeFrom(std::int64_t least, std::int64_t most) {
+    return [=](const Value& value) { return whole(value, least, most); };
+}
 
 class Fields {
 public:
@@ -40,6 +44,11 @@
     const Value* mayArgument(std::size_t at);
     std::vector<const Value*> rest(std::size_t from);  // the arguments from there on
     const Value* property(const std::string& name);    // nothing where there is none
+    // Read into `to`, which keeps its value where there is none.
+    template <typename T, typename Read>
+    void property(const std::string& name, T& to, Read&& reads) {
+        if (const Value* const value = property(name)) to = static_cast<T>(reads(*value));
+    }
     // The one child of that name; more than one is an error.
     const Node* child(const std::string& name);
     std::vector<const Node*> children(const std::string& name);
--- a/src/lab/callers.cpp
+++ b/src/lab/callers.cpp
@@ -223,7 +223,7 @@
     }
     check(now);
     tally_.badLines = plan_->skipped();
-    if (!next_ && open_.empty() && (stopped_ || !done_)) {
+    if (!next_ && open_.empty()) {
         done_ = true;
         progress_.done = true;
         for (auto& caller : callers_) {
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -21,14 +21,6 @@
 double secondsIn(Nanos time) { return std::chrono::duration<double>(time).count(); }
 std::int64_t micros(Nanos time) { return time / 1us; }
 
-auto wholeFrom(std::int64_t least, std::int64_t most) {
-    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
-}
-template <typename T, typename Read>
-void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
-    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
-}
-
 Trouble readTrouble(const kdl::Node& node, std::size_t backends, std::size_t servers) {
     static const std::vector<std::pair<std::string, Trouble::Kind>> kKinds = {
         {"records", Trouble::Kind::Records},      {"pool", Trouble::Kind::Pool},
@@ -47,16 +39,16 @@
     if (at == nullptr)
         throw kdl::Problem(node.at, "a trouble was found without 'at='", "'at=10s' was expected");
     trouble.at = kdl::duration(*at);
-    property(in, "for", trouble.lasts, kdl::duration);
-    property(in, "each", trouble.each, kdl::duration);
-    property(in, "slow", trouble.slow, kdl::number);
-    property(in, "hang", trouble.hang, kdl::share);
-    property(in, "spoil", trouble.spoil, kdl::share);
-    property(in, "share", trouble.share, kdl::share);
-    property(in, "down", trouble.down, kdl::truth);
-    property(in, "cold", trouble.cold, kdl::truth);
-    property(in, "silent", trouble.silent, kdl::truth);
-    property(in, "fails", trouble.fails, kdl::truth);
+    in.property("for", trouble.lasts, kdl::duration);
+    in.property("each", trouble.each, kdl::duration);
+    in.property("slow", trouble.slow, kdl::number);
+    in.property("hang", trouble.hang, kdl::share);
+    in.property("spoil", trouble.spoil, kdl::share);
+    in.property("share", trouble.share, kdl::share);
+    in.property("down", trouble.down, kdl::truth);
+    in.property("cold", trouble.cold, kdl::truth);
+    in.property("silent", trouble.silent, kdl::truth);
+    in.property("fails", trouble.fails, kdl::truth);
     const std::size_t count = trouble.kind == Trouble::Kind::Server ? servers : backends;
     if (count == 0)
         throw kdl::Problem(kind.at, "'server' was found without servers",
@@ -93,33 +85,34 @@
     if (const kdl::Node* const found = in.child("backends")) {
         kdl::Fields inner(*found);
         terms->backends = static_cast<std::size_t>(kdl::whole(inner.argument(0, "how many"), 1, 200));
-        property(inner, "cores", terms->cores, kdl::number);
-        property(inner, "memory", terms->memoryMb,
-                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / (1 << 20); });
-        property(inner, "sockets", terms->sockets, wholeFrom(64, 1000000));
-        property(inner, "stop", terms->stop, kdl::duration);
-        property(inner, "grace", terms->grace, kdl::duration);
-        property(inner, "come-back", terms->longestComeBack, kdl::duration);
+        inner.property("cores", terms->cores, kdl::number);
+        inner.property("memory", terms->memoryMb, [](const kdl::Value& value) {
+            return static_cast<double>(kdl::bytes(value)) / (1 << 20);
+        });
+        inner.property("sockets", terms->sockets, kdl::wholeFrom(64, 1000000));
+        inner.property("stop", terms->stop, kdl::duration);
+        inner.property("grace", terms->grace, kdl::duration);
+        inner.property("come-back", terms->longestComeBack, kdl::duration);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("pool")) {
         kdl::Fields inner(*found);
         PoolTerms& pool = terms->pool;
-        property(inner, "cores", pool.cores.cores, kdl::number);
-        property(inner, "speed", pool.cores.speed, kdl::number);
-        property(inner, "thrash-at", pool.cores.thrashAt, kdl::number);
-        property(inner, "thrash-to", pool.cores.thrashTo, kdl::share);
-        property(inner, "cold", pool.cores.coldPart, kdl::share);
-        property(inner, "warms-over", pool.cores.warmsOver, kdl::duration);
-        property(inner, "heap", pool.heapKb,
-                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / 1024; });
-        property(inner, "run-factor", terms->runFactor, kdl::number);
-        property(inner, "fall-multiple", pool.fallMultiple, kdl::number);
-        property(inner, "fall-over", pool.fallOver, kdl::duration);
-        property(inner, "starts-after", pool.startsAfter, kdl::duration);
-        property(inner, "ends-at-calls", pool.endsAtCalls, kdl::truth);
-        property(inner, "pieces-every", pool.piecesEvery, wholeFrom(1, 1000000));
-        property(inner, "twice-every", pool.twiceEvery, wholeFrom(1, 1000000));
+        inner.property("cores", pool.cores.cores, kdl::number);
+        inner.property("speed", pool.cores.speed, kdl::number);
+        inner.property("thrash-at", pool.cores.thrashAt, kdl::number);
+        inner.property("thrash-to", pool.cores.thrashTo, kdl::share);
+        inner.property("cold", pool.cores.coldPart, kdl::share);
+        inner.property("warms-over", pool.cores.warmsOver, kdl::duration);
+        inner.property("heap", pool.heapKb,
+                       [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / 1024; });
+        inner.property("run-factor", terms->runFactor, kdl::number);
+        inner.property("fall-multiple", pool.fallMultiple, kdl::number);
+        inner.property("fall-over", pool.fallOver, kdl::duration);
+        inner.property("starts-after", pool.startsAfter, kdl::duration);
+        inner.property("ends-at-calls", pool.endsAtCalls, kdl::truth);
+        inner.property("pieces-every", pool.piecesEvery, kdl::wholeFrom(1, 1000000));
+        inner.property("twice-every", pool.twiceEvery, kdl::wholeFrom(1, 1000000));
         inner.done();
         if (pool.cores.cores < 1 || pool.cores.speed <= 0 || pool.heapKb <= 0)
             throw kdl::Problem(found->at, "a pool without cores, speed or heap was found",
@@ -128,28 +121,28 @@
     if (const kdl::Node* const found = in.child("records")) {
         kdl::Fields inner(*found);
         RecordsTerms& records = terms->records;
-        property(inner, "slots", records.slots, wholeFrom(1, 1000000));
-        property(inner, "line", records.line, wholeFrom(0, 1000000));
-        property(inner, "crowd-slows", records.crowdSlows, kdl::number);
-        property(inner, "falls-at", records.fallsAt, kdl::number);
-        property(inner, "down-for", records.downFor, kdl::duration);
-        property(inner, "share", records.share, kdl::number);
-        property(inner, "share-over", records.callsOver, kdl::duration);
-        property(inner, "linger", records.linger, kdl::duration);
+        inner.property("slots", records.slots, kdl::wholeFrom(1, 1000000));
+        inner.property("line", records.line, kdl::wholeFrom(0, 1000000));
+        inner.property("crowd-slows", records.crowdSlows, kdl::number);
+        inner.property("falls-at", records.fallsAt, kdl::number);
+        inner.property("down-for", records.downFor, kdl::duration);
+        inner.property("share", records.share, kdl::number);
+        inner.property("share-over", records.callsOver, kdl::duration);
+        inner.property("linger", records.linger, kdl::duration);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("registry")) {
         kdl::Fields inner(*found);
-        property(inner, "late", terms->registryLate, kdl::duration);
+        inner.property("late", terms->registryLate, kdl::duration);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("servers")) {
         kdl::Fields inner(*found);
         terms->servers.count = static_cast<std::size_t>(kdl::whole(inner.argument(0, "how many"), 1, 150));
-        property(inner, "slots", terms->servers.slots, wholeFrom(1, 10000));
-        property(inner, "most", terms->servers.most, wholeFrom(1, 10000));
-        property(inner, "choose", terms->servers.choose, kdl::text);
-        property(inner, "checks", terms->servers.checks, kdl::duration);
+        inner.property("slots", terms->servers.slots, kdl::wholeFrom(1, 10000));
+        inner.property("most", terms->servers.most, kdl::wholeFrom(1, 10000));
+        inner.property("choose", terms->servers.choose, kdl::text);
+        inner.property("checks", terms->servers.checks, kdl::duration);
         inner.done();
     }
     for (const kdl::Node* node : in.children("trouble"))
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -76,15 +76,6 @@
     return profile;
 }
 
-template <typename T, typename Read>
-void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
-    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
-}
-
-auto wholeFrom(std::int64_t least, std::int64_t most) {
-    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
-}
-
 void readCallers(const kdl::Node& node, Habits& habits, bool targets) {
     kdl::Fields in(node);
     habits.callers = static_cast<int>(kdl::whole(in.argument(0, "how many callers there are"), 1, 100000));
@@ -122,51 +113,51 @@
         decide::AttemptTerms& terms = habits.attempts;
         terms.most =
             static_cast<int>(kdl::whole(inner.argument(0, "how many attempts there are in all"), 1, 6));
-        property(inner, "growth", terms.growth, [](const kdl::Value& value) {
+        inner.property("growth", terms.growth, [](const kdl::Value& value) {
             return kdl::Fields::choice<decide::Growth>(
                 value, {{"fixed", decide::Growth::Fixed}, {"exponential", decide::Growth::Exponential}});
         });
-        property(inner, "jitter", terms.jitter, [](const kdl::Value& value) {
+        inner.property("jitter", terms.jitter, [](const kdl::Value& value) {
             return kdl::Fields::choice<decide::Jitter>(value,
                                                        {{"none", decide::Jitter::None},
                                                         {"equal", decide::Jitter::Equal},
                                                         {"full", decide::Jitter::Full},
                                                         {"decorrelated", decide::Jitter::Decorrelated}});
         });
-        property(inner, "least", terms.least, kdl::duration);
-        property(inner, "longest", terms.longest, kdl::duration);
-        property(inner, "budget", terms.budgeted, kdl::truth);
-        property(inner, "tokens", terms.tokens, kdl::number);
-        property(inner, "per-good", terms.perGood, kdl::number);
-        property(inner, "above", terms.above, kdl::share);
+        inner.property("least", terms.least, kdl::duration);
+        inner.property("longest", terms.longest, kdl::duration);
+        inner.property("budget", terms.budgeted, kdl::truth);
+        inner.property("tokens", terms.tokens, kdl::number);
+        inner.property("per-good", terms.perGood, kdl::number);
+        inner.property("above", terms.above, kdl::share);
         inner.done();
     }
     if (const kdl::Node* const connections = in.child("connections")) {
         kdl::Fields inner(*connections);
         habits.connections =
             static_cast<int>(kdl::whole(inner.argument(0, "how many to one server"), 1, 10000));
-        property(inner, "open", habits.openEach, wholeFrom(1, 32));
-        property(inner, "idle", habits.closesIdle, kdl::duration);
-        property(inner, "within", habits.connectsWithin, kdl::duration);
+        inner.property("open", habits.openEach, kdl::wholeFrom(1, 32));
+        inner.property("idle", habits.closesIdle, kdl::duration);
+        inner.property("within", habits.connectsWithin, kdl::duration);
         inner.done();
     }
     if (const kdl::Node* const checks = in.child("checks")) {
         kdl::Fields inner(*checks);
         habits.checksEvery = kdl::duration(inner.argument(0, "how often, such as 1s"));
-        property(inner, "thorough", habits.thorough, kdl::truth);
+        inner.property("thorough", habits.thorough, kdl::truth);
         inner.done();
     }
     if (const kdl::Node* const honours = in.child("honours")) {
         kdl::Fields inner(*honours);
-        property(inner, "come-back", habits.attempts.honoursComeBack, kdl::truth);
-        property(inner, "advice", habits.honoursAdvice, kdl::truth);
+        inner.property("come-back", habits.attempts.honoursComeBack, kdl::truth);
+        inner.property("advice", habits.honoursAdvice, kdl::truth);
         inner.done();
     }
     habits.forgets = in.setting("forgets", kdl::truth, habits.forgets);
     habits.checksResults = in.setting("check-results", kdl::truth, habits.checksResults);
     habits.openMost = static_cast<std::size_t>(
-        in.setting("open-at-most", wholeFrom(1, 10000000), static_cast<std::int64_t>(habits.openMost)));
-    habits.closed = static_cast<int>(in.setting("closed", wholeFrom(1, 1000000), std::int64_t{0}));
+        in.setting("open-at-most", kdl::wholeFrom(1, 10000000), static_cast<std::int64_t>(habits.openMost)));
+    habits.closed = static_cast<int>(in.setting("closed", kdl::wholeFrom(1, 1000000), std::int64_t{0}));
     in.done();
 }
 
@@ -185,21 +176,21 @@
     if (load == nullptr) throw kdl::Problem({file, 1, 1}, "no 'load' was found", "'load { … }' was expected");
     kdl::Fields in(*load);
     PlanTerms& plan = terms->plan;
-    plan.seed =
-        static_cast<std::uint64_t>(in.setting("seed", wholeFrom(0, std::int64_t{1} << 53), std::int64_t{1}));
+    plan.seed = static_cast<std::uint64_t>(
+        in.setting("seed", kdl::wholeFrom(0, std::int64_t{1} << 53), std::int64_t{1}));
     plan.length = in.setting("length", kdl::duration, plan.length);
-    terms->workers = static_cast<int>(in.setting("workers", wholeFrom(1, 64), std::int64_t{1}));
+    terms->workers = static_cast<int>(in.setting("workers", kdl::wholeFrom(1, 64), std::int64_t{1}));
     if (const kdl::Node* const found = in.child("customers")) {
         kdl::Fields inner(*found);
         plan.customers = static_cast<std::uint64_t>(kdl::whole(inner.argument(0, "how many"), 1, 1000000));
-        property(inner, "skew", plan.customerSkew, kdl::number);
+        inner.property("skew", plan.customerSkew, kdl::number);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("subjects")) {
         kdl::Fields inner(*found);
         plan.subjects =
             static_cast<std::uint64_t>(kdl::whole(inner.argument(0, "how many"), 1, std::int64_t{1} << 40));
-        property(inner, "skew", plan.subjectSkew, kdl::number);
+        inner.property("skew", plan.subjectSkew, kdl::number);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("arrivals")) {
@@ -235,12 +226,12 @@
         if (!trace.file.empty() && trace.file.front() != '/')
             if (const std::size_t slash = file.rfind('/'); slash != file.npos)
                 trace.file = file.substr(0, slash + 1) + trace.file;
-        property(inner, "stretch", trace.stretch, kdl::share);
-        property(inner, "keep", trace.keep, kdl::share);
-        property(inner, "copies", trace.copies, kdl::share);
-        property(inner, "from", trace.from, kdl::duration);
-        property(inner, "until", trace.until, kdl::duration);
-        property(inner, "skip-bad", trace.skipBad, kdl::truth);
+        inner.property("stretch", trace.stretch, kdl::share);
+        inner.property("keep", trace.keep, kdl::share);
+        inner.property("copies", trace.copies, kdl::share);
+        inner.property("from", trace.from, kdl::duration);
+        inner.property("until", trace.until, kdl::duration);
+        inner.property("skip-bad", trace.skipBad, kdl::truth);
         inner.done();
         plan.trace = trace;
     }
@@ -267,7 +258,7 @@
     if (const kdl::Node* const found = in.child("send-within")) {
         kdl::Fields inner(*found);
         terms->sendWithin = kdl::duration(inner.argument(0, "a duration such as 1ms"));
-        property(inner, "share", terms->sendShare, kdl::share);
+        inner.property("share", terms->sendShare, kdl::share);
         inner.done();
     }
     in.done();
--- a/src/serve/terms.cpp
+++ b/src/serve/terms.cpp
@@ -9,14 +9,6 @@
 
 namespace {
 
-template <typename T, typename Read>
-void property(kdl::Fields& in, const char* name, T& to, Read&& reads) {
-    if (const kdl::Value* value = in.property(name)) to = static_cast<T>(reads(*value));
-}
-auto wholeFrom(std::int64_t least, std::int64_t most) {
-    return [=](const kdl::Value& value) { return kdl::whole(value, least, most); };
-}
-
 net::Address addressOf(const kdl::Value& value, int leastPort) {
     const std::string& text = kdl::text(value);
     const std::size_t colon = text.rfind(':');
@@ -40,8 +32,7 @@
 }
 
 // "board-item=1" as KDL has it: the properties of one node are conditions, all of them.
-decide::Route readRoute(kdl::Fields& in, const kdl::Node& node, fronts::Meaning& meaning,
-                        const launch::Names& names) {
+decide::Route readRoute(kdl::Fields& in, fronts::Meaning& meaning, const launch::Names& names) {
     decide::Route route;
     const kdl::Value& path = in.argument(0, "a path such as /board/:hall");
     route.path = kdl::text(path);
@@ -57,8 +48,8 @@
                            "one of " + all + " was expected");
     }
     meaning.profile = known->second;
-    property(in, "subject", meaning.subject, kdl::text);
-    property(in, "customer", meaning.customerHeader, kdl::text);
+    in.property("subject", meaning.subject, kdl::text);
+    in.property("customer", meaning.customerHeader, kdl::text);
     for (const kdl::Node* header : in.children("header")) {
         kdl::Fields inner(*header);
         const std::string name = kdl::text(inner.argument(0, "the name of a header, as HTTP_X_KIND"));
@@ -66,7 +57,6 @@
         inner.done();
     }
     in.done();
-    (void)node;
     return route;
 }
 
@@ -78,8 +68,8 @@
         kdl::Fields inner(*found);
         upstreams::ServerTerms server;
         server.at = addressOf(inner.argument(0, "an address such as \"127.0.0.1:9000\""), 1);
-        property(inner, "weight", server.weight, kdl::number);
-        property(inner, "most", server.most, wholeFrom(1, 100000));
+        inner.property("weight", server.weight, kdl::number);
+        inner.property("most", server.most, kdl::wholeFrom(1, 100000));
         inner.done();
         if (server.weight <= 0)
             throw kdl::Problem(found->at, "a weight of 0 or less was found", "one above 0 was expected");
@@ -107,17 +97,17 @@
     }
     if (const kdl::Node* const found = in.child("leave-out")) {
         kdl::Fields inner(*found);
-        property(inner, "in-a-row", group.members.failuresInARow, wholeFrom(1, 1000));
-        property(inner, "share", group.members.failedShare, kdl::share);
-        property(inner, "at-most", group.members.mostOut, kdl::share);
-        property(inner, "for", group.members.outFor, kdl::duration);
-        property(inner, "longest", group.members.outAtMost, kdl::duration);
+        inner.property("in-a-row", group.members.failuresInARow, kdl::wholeFrom(1, 1000));
+        inner.property("share", group.members.failedShare, kdl::share);
+        inner.property("at-most", group.members.mostOut, kdl::share);
+        inner.property("for", group.members.outFor, kdl::duration);
+        inner.property("longest", group.members.outAtMost, kdl::duration);
         inner.done();
     }
     if (const kdl::Node* const found = in.child("checks")) {
         kdl::Fields inner(*found);
         group.checksEvery = kdl::duration(inner.argument(0, "how often, such as 1s"));
-        property(inner, "path", group.checkPath, kdl::text);
+        inner.property("path", group.checkPath, kdl::text);
         inner.done();
     }
     group.connectsWithin = in.setting("connects-within", kdl::duration, group.connectsWithin);
@@ -143,9 +133,10 @@
     all.name = kdl::text(in.argument(0, "the name of this server"));
     if (const kdl::Node* const found = in.child("limits")) {
         kdl::Fields inner(*found);
-        property(inner, "memory", all.memoryMb,
-                 [](const kdl::Value& value) { return static_cast<double>(kdl::bytes(value)) / (1 << 20); });
-        property(inner, "sockets", all.sockets, wholeFrom(64, 1000000));
+        inner.property("memory", all.memoryMb, [](const kdl::Value& value) {
+            return static_cast<double>(kdl::bytes(value)) / (1 << 20);
+        });
+        inner.property("sockets", all.sockets, kdl::wholeFrom(64, 1000000));
         inner.done();
         if (all.memoryMb < 16)
             throw kdl::Problem(found->at, "less than 16MiB of memory were found",
@@ -153,15 +144,15 @@
     }
     if (const kdl::Node* const found = in.child("leave")) {
         kdl::Fields inner(*found);
-        property(inner, "stop", all.stopAfter, kdl::duration);
-        property(inner, "grace", all.grace, kdl::duration);
+        inner.property("stop", all.stopAfter, kdl::duration);
+        inner.property("grace", all.grace, kdl::duration);
         inner.done();
         if (all.stopAfter < 500ms || all.grace >= all.stopAfter)
             throw kdl::Problem(found->at, "a stop under 500ms or before the grace was found",
                                "'leave stop=3s grace=800ms' was expected");
     }
-    all.seed =
-        static_cast<std::uint64_t>(in.setting("seed", wholeFrom(0, std::int64_t{1} << 53), std::int64_t{0}));
+    all.seed = static_cast<std::uint64_t>(
+        in.setting("seed", kdl::wholeFrom(0, std::int64_t{1} << 53), std::int64_t{0}));
 
     for (const kdl::Node* node : in.children("group")) {
         all.groups.push_back(readGroup(*node));
@@ -225,7 +216,7 @@
         kdl::Fields inner(*node);
         const std::string name = kdl::text(inner.argument(0, "the name of a customer"));
         double quota = 1e6;
-        property(inner, "quota", quota, kdl::rate);
+        inner.property("quota", quota, kdl::rate);
         inner.done();
         if (!all.names.customers.emplace(name, static_cast<int>(terms.customers.size())).second)
             throw kdl::Problem(node->at, "a second customer '" + name + "' was found",
@@ -248,15 +239,15 @@
         kdl::Fields inner(*found);
         fronts::ScgiFrontTerms front;
         front.listen = addressOf(need(inner, "listen"), 0);
-        property(inner, "head-at-most", front.bounds.head, kdl::bytes);
-        property(inner, "body-at-most", front.bounds.body, kdl::bytes);
-        property(inner, "head-within", front.headWithin, kdl::duration);
-        property(inner, "body-within", front.bodyWithin, kdl::duration);
-        property(inner, "takes-within", front.takesWithin, kdl::duration);
+        inner.property("head-at-most", front.bounds.head, kdl::bytes);
+        inner.property("body-at-most", front.bounds.body, kdl::bytes);
+        inner.property("head-within", front.headWithin, kdl::duration);
+        inner.property("body-within", front.bodyWithin, kdl::duration);
+        inner.property("takes-within", front.takesWithin, kdl::duration);
         for (const kdl::Node* node : inner.children("route")) {
             kdl::Fields one(*node);
             fronts::Meaning meaning;
-            decide::Route route = readRoute(one, *node, meaning, all.names);
+            decide::Route route = readRoute(one, meaning, all.names);
             route.target = front.meanings.size();
             front.meanings.push_back(meaning);
             all.routes.push_back(std::move(route));
--- a/src/upstreams/scgi/groups.cpp
+++ b/src/upstreams/scgi/groups.cpp
@@ -277,7 +277,6 @@
         ++counts_.saidFailed;
         group.servers[server].limit.failed(at);
         job.said = job.form == backend::Form::Scgi ? whole : reply.body;
-        job.saidStatus = reply.status;
         return attemptFailed(id, Began::Unknown, at, "the server said that it can't");
     }
     group.budget.good();
@@ -319,7 +318,6 @@
     tried.waited = job.waited;
     tried.stopsAt = job.due;
     tried.useful = kUseful;
-    job.everBegan = job.everBegan || began != Began::Never;
     const auto verdict = decide::again(group.terms.attempts, group.budget, tried, at, chance_);
     ++counts_.notAgain[static_cast<std::size_t>(verdict.why)];
     if (verdict.why == decide::Why::Again) {
--- a/src/upstreams/scgi/groups.h
+++ b/src/upstreams/scgi/groups.h
@@ -105,9 +105,8 @@
         std::uint64_t subject = 0;
         int attempts = 0;
         Line* line = nullptr;
-        bool waits = false, everBegan = false;
+        bool waits = false;
         std::string said;  // the last reply that a server gave, where it told of a failure
-        int saidStatus = 0;
     };
     void agenda(CommandId id, Job& job, Nanos at);
     void pump();
