Backends of the last tier and callers that tell no patience are served

A probe that prints the configuration showed that backends of the last tier (below: off) are told of no records service, that the first tier says below: tier, and, with a site variant of our own, that commands carry no patience where passes_deadline is false; every one was refused with 'patience: milliseconds were expected'.

Ruled out: the settings object itself, which was read without complaint once the address was not asked for.

At fault: start.cpp asked for records always and refused tier where profiles call; sidecars.cpp asked for patience always.

Changed: records is asked for where something is below; a call without an address is told as unreachable; tier is served as shared is; patience is asked for where the settings say that it is told, and a value that is there is read all the same.

--- a/src/calls/records.cpp
+++ b/src/calls/records.cpp
@@ -58,7 +58,7 @@
                                                                 : net::ConnectionEnd::ConnectTimedOut);
                    }),
           replies([this](net::HttpReplies::Reply&& reply) { records.replied(*this, std::move(reply)); }),
-          connection(theRecords.loop_, theRecords.at_, *this, {kInput, kOutput, theRecords.total_}) {}
+          connection(theRecords.loop_, *theRecords.at_, *this, {kInput, kOutput, theRecords.total_}) {}
 
     void arrived(net::Connection& from) override {
         net::Ring& input = from.input();
@@ -82,8 +82,8 @@
     Lines::iterator place;
 };
 
-Records::Records(net::Loop& loop, net::Address at, const launch::Shares& shares, backend::Backend& backend,
-                 report::Counters& counters)
+Records::Records(net::Loop& loop, std::optional<net::Address> at, const launch::Shares& shares,
+                 backend::Backend& backend, report::Counters& counters)
     : loop_(loop),
       at_(std::move(at)),
       most_(shares.calls),
@@ -97,6 +97,7 @@
 void Records::begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) {
     giveUp(id);
     counters_.add(Count::CallsBegun);
+    if (!at_) return report(id, Outcome::Unreachable, 0ns, {});
     const auto idle = idleLine();
     const bool reused = idle != kept_.end();
     if (!reused && busy_.size() + kept_.size() >= most_) {
@@ -123,7 +124,8 @@
     return kept_.end();
 }
 
-void Records::moveTo(net::Address at) {
+void Records::moveTo(std::optional<net::Address> at) {
+    if (!at) return;  // what is out, and may be written again, still needs one
     at_ = std::move(at);
     kept_.clear();
     for (const auto& line : busy_) line->old = true;
--- a/src/calls/records.h
+++ b/src/calls/records.h
@@ -3,6 +3,7 @@
 
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -15,14 +16,15 @@
 
 class Records : public backend::Calls {
 public:
-    Records(net::Loop& loop, net::Address at, const launch::Shares& shares, backend::Backend& backend,
+    // Without an address nothing lies below, and each call is told as unreachable.
+    Records(net::Loop& loop, std::optional<net::Address> at, const launch::Shares& shares, backend::Backend& backend,
             report::Counters& counters);
     ~Records() override;
 
     void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) override;
     void giveUp(CommandId id) override;
     // New calls go there; what is out may still end well where it is, kept connections are not used again.
-    void moveTo(net::Address at);
+    void moveTo(std::optional<net::Address> at);
 
     std::size_t out() const { return out_.size(); }
     std::size_t kept() const { return kept_.size(); }
@@ -39,7 +41,7 @@
     void closeUnused();
 
     net::Loop& loop_;
-    net::Address at_;
+    std::optional<net::Address> at_;
     const std::size_t most_;
     const std::shared_ptr<net::Total> total_;
     backend::Backend& backend_;
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -45,7 +45,7 @@
 
 // What a command lacks, or nothing when it is whole.
 std::string readCommand(const Message& message, const launch::Names& names,
-                        const std::vector<Nanos>& hardStops, backend::Arrival& arrival) {
+                        const std::vector<Nanos>& hardStops, bool patienceTold, backend::Arrival& arrival) {
     if (!message.fields || !message.body) return "fields and body are needed";
     if (message.body->size() > kLongestBody) return "the body is longer than 2048 bytes";
     const Fields& fields = *message.fields;
@@ -69,11 +69,13 @@
                patience = number<std::int64_t>(fields, "patience");
     constexpr std::int64_t kLatest = INT64_MAX / 4000000;
     if (!born || *born <= 0 || *born > kLatest) return "born: Unix milliseconds were expected";
-    // Nobody waits for longer than the profile's hard stop. What is past all this tells of no jam, and its
-    // figures would stand in the module's means.
-    if (!patience || *patience < 0 || 1ms * *patience > hardStop)
+    // Nobody waits for longer than the profile's hard stop, nor for another time where it is not told. What
+    // is past all this tells of no jam, and its figures would stand in the module's means.
+    if ((patienceTold || fields.contains("patience")) &&
+        (!patience || *patience < 0 || 1ms * *patience > hardStop))
         return "patience: milliseconds were expected";
-    const Nanos now = net::unixNow(), bornAt = 1ms * *born, due = bornAt + 1ms * *patience;
+    const Nanos now = net::unixNow(), bornAt = 1ms * *born,
+                due = bornAt + (patience ? 1ms * *patience : hardStop);
     if (bornAt > now + kAhead || due < now - kAhead) return "born: a time near the present was expected";
     const auto size = number<double>(fields, "size");
     if (!size || *size <= 0 || *size >= 2000) return "size: kilobytes were expected";
@@ -125,12 +127,13 @@
 };
 
 Sidecars::Sidecars(net::Loop& loop, const net::Address& at, const launch::Shares& shares, launch::Names names,
-                   const std::vector<ProfileTerms>& profiles, backend::Backend& backend, report::Log& log,
-                   report::Counters& counters)
+                   const std::vector<ProfileTerms>& profiles, bool patienceTold, backend::Backend& backend,
+                   report::Log& log, report::Counters& counters)
     : loop_(loop),
       most_(shares.sidecars),
       total_(std::make_shared<net::Total>(net::Total{shares.sidecarBytes})),
       names_(std::move(names)),
+      patienceTold_(patienceTold),
       backend_(backend),
       log_(log),
       counters_(counters),
@@ -255,7 +258,7 @@
 
 void Sidecars::takeCommand(Line& line, const Message& message) {
     backend::Arrival arrival;
-    std::string why = readCommand(message, names_, hardStops_, arrival);
+    std::string why = readCommand(message, names_, hardStops_, patienceTold_, arrival);
     if (why.empty() && backend_.has(arrival.command.id)) why = "trace: in hand already";
     if (!why.empty()) return refuse(line, message, Refusal::Internal, why);
     line.open.emplace(message.sequence, arrival.command.id);
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -18,8 +18,8 @@
 class Sidecars : public backend::Door {
 public:
     Sidecars(net::Loop& loop, const net::Address& at, const launch::Shares& shares, launch::Names names,
-             const std::vector<ProfileTerms>& profiles, backend::Backend& backend, report::Log& log,
-             report::Counters& counters);
+             const std::vector<ProfileTerms>& profiles, bool patienceTold, backend::Backend& backend,
+             report::Log& log, report::Counters& counters);
     ~Sidecars() override;
 
     void handled(CommandId id, std::string_view result) override;
@@ -62,6 +62,7 @@
     const std::shared_ptr<net::Total> total_;
     const launch::Names names_;
     std::vector<Nanos> hardStops_;  // by profile
+    const bool patienceTold_;       // each command has to say how long its caller waits
     backend::Backend& backend_;
     report::Log& log_;
     report::Counters& counters_;
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -74,8 +74,8 @@
         if (profile.hardStop <= 0ns)
             complain("settings.classes[].deadline_us", "a time above 0 was expected");
         if (profile.promised <= 0ns) complain("settings.classes[].aim_us", "a time above 0 was expected");
-        if (profile.calls && terms.below != Below::Shared)
-            complain("settings.family_info.below", "'shared' was expected, as profiles call");
+        if (profile.calls && terms.below == Below::Nothing)
+            complain("settings.family_info.below", "'shared' or 'tier' was expected, as profiles call");
     }
 }
 
@@ -121,7 +121,6 @@
     if (text(all, "listen") != listen) complain("listen", "'" + listen + "' was expected, as in GW_LISTEN");
     start.pool = readAddress("pool", text(all, "pool"));
     start.registry = readAddress("registry", text(all, "registry"));
-    start.records = readAddress("records", text(all, "records"));
     for (const char* key : {"stop_ms", "limits", "settings", "seed"})
         start.fixed[key] = need(all, "", key).dump();
     start.stopAfter = Nanos(static_cast<std::int64_t>(positive(all, "", "stop_ms") * 1e6));
@@ -137,6 +136,9 @@
     start.terms = readTerms(settings, readSeed(text(all, "seed")), start.names);
     refuseWhatIsNotCarried(start.terms);
     const Json& mine = object(settings, "settings.", "family_info");
+    // A backend of the last tier calls nothing, and is told of no address for it.
+    if (start.terms.below != Below::Nothing || all.contains("records"))
+        start.records = readAddress("records", text(all, "records"));
     positive(mine, "settings.family_info.", "cores");
     positive(mine, "settings.family_info.", "heap_kb");
     const auto gauges = mine.find("own_stats");
@@ -152,6 +154,12 @@
         if (!follows->is_boolean()) complain("settings.family_info.readiness", "true or false was expected");
         start.listFollowsHealth = follows->get<bool>();
     }
+    const auto told = mine.find("passes_deadline");
+    if (told != mine.end()) {
+        if (!told->is_boolean())
+            complain("settings.family_info.passes_deadline", "true or false was expected");
+        start.patienceTold = told->get<bool>();
+    }
     return start;
 }
 
--- a/src/launch/start.h
+++ b/src/launch/start.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,7 +23,8 @@
 
 struct Start {
     std::string name;
-    net::Address listen, pool, registry, records;
+    net::Address listen, pool, registry;
+    std::optional<net::Address> records;  // where calls go; none where the settings have nothing below
     Nanos stopAfter{0};  // from the notice to leave to the end of the process
     Shares shares;
     report::Level level = report::Level::Info;
@@ -30,6 +32,8 @@
     Names names;
     std::vector<std::string> gauges;  // as the pool orders them
     bool listFollowsHealth = false;
+    // Whether each command says how long its caller waits; else that is the profile's hard stop.
+    bool patienceTold = false;
     std::map<std::string, std::string> fixed;  // what stands in the file under keys that need a new start
 };
 
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -41,7 +41,7 @@
       lastMoment_(loop, [this] { loop_.stop(); }) {
     if (terms_.thrift)
         thrift_ = std::make_unique<intake::Sidecars>(loop, *terms_.thrift, terms_.shares, terms_.names,
-                                                     terms_.terms.profiles, backend_, log, counters);
+                                                     terms_.terms.profiles, true, backend_, log, counters);
     if (terms_.scgi) {
         decide::Routes routes;
         for (const decide::Route& route : terms_.routes)
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -27,7 +27,8 @@
       pool_(loop, start.pool, start.shares, inOrder(start.names.profiles), start.gauges, start.terms.seed,
             backend_, log, counters),
       records_(loop, start.records, start.shares, backend_, counters),
-      sidecars_(loop, start.listen, start.shares, start.names, start.terms.profiles, backend_, log, counters),
+      sidecars_(loop, start.listen, start.shares, start.names, start.terms.profiles, start.patienceTold,
+                backend_, log, counters),
       registry_(loop, start.registry, start.name, log, counters),
       away_(loop,
             [this] {
@@ -62,7 +63,7 @@
     }
     counters_.add(report::Count::Reloads);
     int moved = 0;
-    const auto moves = [&](net::Address& from, const net::Address& to, auto& link) {
+    const auto moves = [&](auto& from, const auto& to, auto& link) {
         if (from == to) return;
         link.moveTo(from = to);
         ++moved;
--- /dev/null
+++ b/tests/customers_test.cpp
@@ -0,0 +1,96 @@
+// Other customers' settings: nothing is refused at start, and nothing is asked of a command, that only one
+// deployment has.
+#include "helpers.h"
+
+namespace cottonwing {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::Json;
+using testing::Sidecar;
+using testing::Stage;
+namespace frames = testing::frames;
+
+Json lastTier() {
+    Json all = testing::plainStart();
+    all.erase("records");
+    Json& mine = all["settings"]["family_info"];
+    mine["below"] = "off";
+    mine["class_calls"] = {false, false};
+    mine["dep_share"] = 0;
+    return all;
+}
+
+// The last tier is told of no records service; asking for its address refused the start on every day.
+TEST(Customers, ABackendWithNothingBelowNeedsNoRecordsService) {
+    EXPECT_FALSE(testing::startOf(lastTier()).records.has_value());
+    Json all = testing::plainStart();
+    all.erase("records");
+    EXPECT_THROW(testing::startOf(all), launch::BadKey);  // where something is below, it does
+    all = lastTier();
+    all["records"] = "nowhere";
+    EXPECT_THROW(testing::startOf(all), launch::BadKey);
+}
+
+TEST(Customers, ACallWithNothingBelowIsUnreachable) {
+    net::Loop loop;
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Debug);
+    report::Counters counters;
+    const launch::Start start = testing::startOf(lastTier());
+    backend::Backend backend(loop, start.terms, 1 << 20, log, counters);
+    calls::Records records(loop, start.records, start.shares, backend, counters);
+    records.begin(1, Sidecar::trace(1), 1s, "call");
+    records.moveTo(std::nullopt);
+    EXPECT_EQ(counters.of(report::Count::CallsUnreachable), 1U);
+    EXPECT_EQ(records.out(), 0U);
+}
+
+TEST(Customers, CallsToATierAreServedAsThoseToASharedService) {
+    Json all = testing::plainStart();
+    all["settings"]["family_info"]["below"] = "tier";
+    all["settings"]["family_info"]["dep_share"] = 0;
+    Stage on(all);
+    on.bound();
+    Sidecar sidecar(on.loop, on.port());
+    sidecar.ask(1);
+    on.wait([&] { return on.pool.running.contains(Sidecar::trace(1)); });
+    on.pool.block(Sidecar::trace(1), "call");
+    on.wait([&] { return on.pool.supplied.contains(Sidecar::trace(1)); });
+    EXPECT_EQ(on.pool.supplied.at(Sidecar::trace(1)), "re:call");
+}
+
+// Where the settings do not say that callers tell how long they wait, the field is absent.
+TEST(Customers, PatienceIsAskedForOnlyWhereItIsTold) {
+    testing::Reply fields = Sidecar::fields(1);
+    fields.erase("patience");
+    for (const bool told : {true, false}) {
+        Json all = testing::plainStart();
+        all["settings"]["family_info"]["passes_deadline"] = told;
+        Stage on(all);
+        on.bound();
+        Sidecar sidecar(on.loop, on.port());
+        sidecar.say(frames::serve(1, fields, "body"));
+        if (told) {
+            on.wait([&] { return sidecar.answers.contains(1); });
+            EXPECT_EQ(sidecar.answers[1].kind, "refusal");
+            continue;
+        }
+        on.wait([&] { return on.pool.running.contains(Sidecar::trace(1)); });
+        on.pool.finish(Sidecar::trace(1), "ok", "done");
+        on.wait([&] { return sidecar.answers.contains(1); });
+        EXPECT_EQ(sidecar.answers[1].body, "done");
+        // A value that is there is read all the same.
+        testing::Reply bad = Sidecar::fields(2);
+        bad["patience"] = "-4";
+        sidecar.say(frames::serve(2, bad, "body"));
+        on.wait([&] { return sidecar.answers.contains(2); });
+        EXPECT_EQ(sidecar.answers[2].kind, "refusal");
+    }
+    Json all = testing::plainStart();
+    all["settings"]["family_info"]["passes_deadline"] = "yes";
+    EXPECT_THROW(testing::startOf(all), launch::BadKey);
+}
+
+}  // namespace
+}  // namespace cottonwing
