Keyed classes are served: one run for all tries that share an idempotency key

Changed: src/state holds keys within their windows, purely: which try has the key, what became of it, its result; keys and results share an eighth of the memory, results give way first, and what finds no room is turned away before it runs. The module looks for a repeat before the grace of a drain: a repeat of what ran may not be denied. A call may be left out where the settings allow it (pass). A start that may be lost with the pool's link and may not be repeated is asked after a second after it is over, so its place is not held for ever (a known fault, docs/standing.md). An id counts as in hand until the module has heard of its end: it took the next one of that id for the same.

The test cases that wanted keyed classes and degraded_worth refused want a keyed class without a window, and a degraded_worth of another type, refused.

--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -8,12 +8,14 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "logic.h"
 #include "net/loop.h"
 #include "report/counters.h"
 #include "report/log.h"
+#include "state/idempotency_keys.h"
 
 namespace cottonwing::backend {
 
@@ -42,6 +44,7 @@
 struct Arrival {
     Command command;
     std::string name, body;
+    std::string key;  // the idempotency key, where its profile is tagged: the same in all tries of a request
     Form form = Form::Plain;
     std::uint64_t subject = 0;  // what it is about, for those that route by it
     Door* from = nullptr;
@@ -64,6 +67,7 @@
     virtual void start(const Run& run) = 0;
     virtual void halt(const std::string& name) = 0;
     virtual void supply(const std::string& name, std::string_view reply) = 0;
+    virtual void leaveOut(const std::string& name) = 0;  // go on without the call that the run waits for
     virtual void askGauges() = 0;
     // Does a little work; tells how it went, or nothing where no word came in time.
     virtual void verify(std::function<void(std::optional<bool>)> told) = 0;
@@ -79,16 +83,17 @@
 
 class Backend {
 public:
-    // mostBytes: what the bodies of all commands in hand may take.
-    Backend(net::Loop& loop, const StartTerms& terms, std::size_t mostBytes, report::Log& log,
-            report::Counters& counters);
+    // mostBytes: what the bodies of all commands in hand may take; keyBytes: idempotency keys and results.
+    Backend(net::Loop& loop, const StartTerms& terms, std::size_t mostBytes, std::size_t keyBytes,
+            report::Log& log, report::Counters& counters);
 
     void joinLinks(Door& door, Runs& runs, Calls& calls) { doors_ = {&door}, runs_ = &runs, calls_ = &calls; }
     void alsoDoor(Door& door) { doors_.push_back(&door); }
     void onHealth(std::function<void(bool)> told) { healthTold_ = std::move(told); }
 
     // From the door.
-    bool has(CommandId id) const { return table_.contains(id); }
+    // Also for one that ended in this turn: the module has yet to hear of it, and would take the two for one.
+    bool has(CommandId id) const { return table_.contains(id) || ended_.contains(id); }
     void take(Arrival arrival);
     void callerLeft(CommandId id);
 
@@ -118,13 +123,17 @@
 
 private:
     struct Owned {
-        std::string name, body, callBody, supplied;
-        Nanos suppliedAt{0}, due{0};
+        std::string name, body, key, callBody, supplied;
+        Nanos startedAt{0}, overAt{0};  // overAt: when its answer was given or its caller left
+        Nanos suppliedAt{0}, due{0};    // suppliedAt: when it was last told how to go on after a call
         Door* door = nullptr;
         std::uint64_t subject = 0;
         Form form = Form::Plain;
         int profile = 0;
         bool answered = false, left = false, running = false, calling = false;
+        bool holdsKey = false, joined = false;  // the first try of its key; one that waits for that try
+        bool leftOut = false;                   // told to go on without its call, rather than with a reply
+        bool unsure = false;    // may not be repeated, and its start may be lost with a link of the pool
         std::size_t bytes = 0;  // counted for it
         bool waiting() const { return !answered && !left; }
     };
@@ -132,7 +141,19 @@
     static constexpr std::size_t kEachTakes = 1024;  // of memory, beside its bodies
 
     struct Decision {
-        enum class Kind { Start, Bounce, Scrap, Halt, Call, Health, FreeValue, CloseIdle, Wake } kind;
+        enum class Kind {
+            Start,
+            Bounce,
+            Scrap,
+            Halt,
+            Call,
+            LeaveOut,
+            Join,
+            Health,
+            FreeValue,
+            CloseIdle,
+            Wake
+        } kind;
         CommandId id = 0;
         Nanos time{0};
         double value = 0;
@@ -152,11 +173,11 @@
         void call(CommandId id, Nanos patience) override {
             all.push_back({Decision::Kind::Call, id, patience});
         }
-        // No site that needs one of these four passes the start.
-        void leaveOut(CommandId) override { notCarried("leaveOut"); }
+        void leaveOut(CommandId id) override { all.push_back({Decision::Kind::LeaveOut, id}); }
+        // Keys are ours, in our own memory: no entry of the module's costs what commands are booked for.
         void keep(CommandId, Nanos) override { notCarried("keep"); }
         void forget(CommandId) override { notCarried("forget"); }
-        void join(CommandId) override { notCarried("join"); }
+        void join(CommandId id) override { all.push_back({Decision::Kind::Join, id}); }
         void health(bool good) override { all.push_back({Decision::Kind::Health, 0, Nanos(0), 0, good}); }
         void freeValue(double value) override {
             all.push_back({Decision::Kind::FreeValue, 0, Nanos(0), value});
@@ -176,6 +197,9 @@
     void startRun(const Owned& owned);
     void answered(Table::iterator at, report::Count kind);
     void dropIfDone(Table::iterator at);
+    void tellJoined(CommandId id, state::IdempotencyKeys::Known known);
+    void tellJoined(const std::vector<CommandId>& ids, state::IdempotencyKeys::Known known);
+    void askAfterUnsure(Nanos now);
     void ring();
 
     const StartTerms terms_;
@@ -198,7 +222,10 @@
     bool well_ = false;
     bool workSeen_ = false;  // a run has ended well since work was last checked
     std::optional<double> freeValue_;
-    Table table_;  // emptied by answers, by ends of runs and by callers that leave
+    Table table_;                          // emptied by answers, by ends of runs and by callers that leave
+    std::unordered_set<CommandId> ended_;  // out of the table in this turn; emptied by the next round
+    state::IdempotencyKeys keys_;
+    std::size_t unsure_ = 0;  // rows that are
     std::size_t unanswered_ = 0;
     std::size_t bytes_ = 0;  // of the bodies in the table
 };
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -11,7 +11,7 @@
 using report::Count;
 
 constexpr std::size_t kMostOpen = 32;  // commands on one connection
-constexpr std::size_t kLongestBody = 2048;
+constexpr std::size_t kLongestBody = 2048, kLongestKey = 64;
 constexpr std::size_t kInput = 32 << 10, kOutput = 256 << 10;
 constexpr int kMessagesATurn = 64;  // of one connection; the rest waits for its next turn
 constexpr int kMostStrikes = 8;     // messages of one connection that are refused before it is closed
@@ -96,6 +96,13 @@
         if (const auto client = number<std::int64_t>(fields, "client"); !client || *client < 0)
             return "client: a number of 0 or more was expected";
     if (fields.contains("redo") && given("redo") != "1") return "redo: 1 was expected";
+    if (terms.repeat == Repeat::Tagged) {
+        const std::string_view key = given("nonce");
+        if (key.empty() || key.size() > kLongestKey) return "nonce: an idempotency key was expected";
+        // One customer's key is not another's, and a key belongs to one profile.
+        arrival.key = std::to_string(command.profile) + "/" + std::to_string(command.customer) + "/";
+        arrival.key.append(key);
+    }
     command.id = *id;
     command.due = due;
     command.waited = std::max(0ns, now - bornAt);
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -63,14 +63,11 @@
     return value;
 }
 
-// A site that needs what the protocol on sockets does not carry is not half-served.
-void refuseWhatIsNotCarried(const StartTerms& terms) {
+// What contradicts itself, or lacks what a backend can't do without.
+void refuseContradictions(const StartTerms& terms) {
     for (const ProfileTerms& profile : terms.profiles) {
-        if (profile.repeat == Repeat::Tagged)
-            complain("settings.classes[].repeat", "tagged profiles can't be served: tags don't reach us");
-        if (profile.poorerShare > 0)
-            complain("settings.family_info.degraded_worth",
-                     "0 was expected: a run can't be told to go on without its call");
+        if (profile.repeat == Repeat::Tagged && profile.window <= 0ns)
+            complain("settings.classes[].window_us", "a time above 0 was expected, as the class is guarded");
         if (profile.hardStop <= 0ns)
             complain("settings.classes[].deadline_us", "a time above 0 was expected");
         if (profile.promised <= 0ns) complain("settings.classes[].aim_us", "a time above 0 was expected");
@@ -88,6 +85,7 @@
             bytes(0.25),
             bytes(0.125),
             bytes(0.125),
+            bytes(0.125),
             bytes(0.125)};
 }
 
@@ -134,7 +132,9 @@
 
     const Json& settings = object(all, "", "settings");
     start.terms = readTerms(settings, readSeed(text(all, "seed")), start.names);
-    refuseWhatIsNotCarried(start.terms);
+    refuseContradictions(start.terms);
+    // The simulator books entries in the memory of commands; here keys lie in our own, under a share of it.
+    start.terms.entryKb = 0;
     const Json& mine = object(settings, "settings.", "family_info");
     // A backend of the last tier calls nothing, and is told of no address for it.
     if (start.terms.below != Below::Nothing || all.contains("records"))
--- a/src/launch/start.h
+++ b/src/launch/start.h
@@ -17,15 +17,15 @@
 // What the limits are divided into: the one place that every bound comes from. Connections in use, all rings
 // and all bodies together stay below the limits by what the program needs besides.
 struct Shares {
-    std::size_t sidecars = 0, calls = 0;                                           // connections
-    std::size_t sidecarBytes = 0, callBytes = 0, commandBytes = 0, poolBytes = 0;  // in total
+    std::size_t sidecars = 0, calls = 0;  // connections
+    std::size_t sidecarBytes = 0, callBytes = 0, commandBytes = 0, poolBytes = 0, keyBytes = 0;  // in total
 };
 
 struct Start {
     std::string name;
     net::Address listen, pool, registry;
     std::optional<net::Address> records;  // where calls go; none where the settings have nothing below
-    Nanos stopAfter{0};  // from the notice to leave to the end of the process
+    Nanos stopAfter{0};                   // from the notice to leave to the end of the process
     Shares shares;
     report::Level level = report::Level::Info;
     StartTerms terms;
--- a/src/report/counters.h
+++ b/src/report/counters.h
@@ -21,8 +21,10 @@
     Handled,
     Bounced,
     Scrapped,
-    NoMemory,     // of the bounced: for our own limit
-    CallersLeft,  // taken in, and never answered because nobody waited any more
+    NoMemory,      // of the bounced: for our own limit
+    KeyRepeats,    // of the commands read: another try has their idempotency key
+    KeyConflicts,  // of the scrapped: a request with another body has their key
+    CallersLeft,   // taken in, and never answered because nobody waited any more
     RunsStarted,
     RunsHalted,
     RunsEnded,
--- a/src/runs/notices.cpp
+++ b/src/runs/notices.cpp
@@ -99,6 +99,7 @@
 std::string supplyLine(std::string_view job, std::string_view reply) {
     return line({{"type", "supply"}, {"job", job}, {"data", encode64(reply)}});
 }
+std::string leaveOutLine(std::string_view job) { return line({{"type", "pass"}, {"job", job}}); }
 std::string pollLine(std::string_view tag) { return line({{"type", "poll"}, {"ref", tag}}); }
 std::string verifyLine(std::string_view tag) { return line({{"type", "verify"}, {"ref", tag}}); }
 
--- a/src/runs/notices.h
+++ b/src/runs/notices.h
@@ -31,6 +31,7 @@
 std::string startLine(std::string_view job, std::string_view profile, std::string_view body);
 std::string haltLine(std::string_view job);
 std::string supplyLine(std::string_view job, std::string_view reply);
+std::string leaveOutLine(std::string_view job);
 std::string pollLine(std::string_view tag);
 std::string verifyLine(std::string_view tag);
 
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -48,6 +48,7 @@
 }
 void PoolLink::halt(const std::string& name) { say(haltLine(name)); }
 void PoolLink::supply(const std::string& name, std::string_view reply) { say(supplyLine(name, reply)); }
+void PoolLink::leaveOut(const std::string& name) { say(leaveOutLine(name)); }
 void PoolLink::askGauges() {
     const Nanos now = net::unixNow();
     if (bound_ && unheard_ > 0ns && now - unheard_ > kSilent) return lost(net::ConnectionEnd::TimedOut);
--- a/src/runs/pool_link.h
+++ b/src/runs/pool_link.h
@@ -25,6 +25,7 @@
     void start(const backend::Run& run) override;
     void halt(const std::string& name) override;
     void supply(const std::string& name, std::string_view reply) override;
+    void leaveOut(const std::string& name) override;
     void askGauges() override;
     void verify(std::function<void(std::optional<bool>)> told) override;
     // The link is opened there at once; runs go on, and what was missed is said again.
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -25,7 +25,7 @@
       terms_(seeded(std::move(terms))),
       log_(log),
       counters_(counters),
-      backend_(loop, terms_.terms, terms_.shares.commandBytes, log, counters),
+      backend_(loop, terms_.terms, terms_.shares.commandBytes, terms_.shares.keyBytes, log, counters),
       groups_(loop, terms_.groups, terms_.groupOf, terms_.terms.profiles, terms_.profileNames,
               terms_.groupBounds, terms_.seed, backend_, log),
       away_(loop,
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -23,7 +23,7 @@
       counters_(counters),
       stopAfter_(start.stopAfter),
       grace_(std::min(start.terms.drainGrace, start.stopAfter / 2)),
-      backend_(loop, start.terms, start.shares.commandBytes, log, counters),
+      backend_(loop, start.terms, start.shares.commandBytes, start.shares.keyBytes, log, counters),
       pool_(loop, start.pool, start.shares, inOrder(start.names.profiles), start.gauges, start.terms.seed,
             backend_, log, counters),
       records_(loop, start.records, start.shares, backend_, counters),
--- a/src/state/idempotency_keys.cpp
+++ b/src/state/idempotency_keys.cpp
@@ -11,11 +11,12 @@
 
 }  // namespace
 
-IdempotencyKeys::Claim IdempotencyKeys::claim(const std::string& key, CommandId id, Nanos arrived, Nanos now,
-                                              KeyTimes times) {
+IdempotencyKeys::Claim IdempotencyKeys::claim(const std::string& key, CommandId id, std::size_t bodyMark,
+                                              Nanos arrived, Nanos now, KeyTimes times) {
     expire(now);
     if (const auto at = table_.find(key); at != table_.end()) {
-        if (at->second.outcome == Outcome::Pending || arrived <= at->second.windowEnds) return Claim::Repeat;
+        if (at->second.outcome == Outcome::Pending || arrived <= at->second.windowEnds)
+            return at->second.bodyMark == bodyMark ? Claim::Repeat : Claim::Conflict;
         erase(at);
     }
     const std::size_t takes = kEachTakes + 2 * key.size();
@@ -23,6 +24,7 @@
     bytes_ += takes;
     Entry& entry = table_[key];
     entry.first = id;
+    entry.bodyMark = bodyMark;
     // Counted from the reading, which is never before the arrival that the window counts from.
     entry.windowEnds = now + times.window;
     entry.until = entry.windowEnds + times.kept;
--- a/src/state/idempotency_keys.h
+++ b/src/state/idempotency_keys.h
@@ -29,12 +29,15 @@
     explicit IdempotencyKeys(std::size_t mostBytes) : most_(mostBytes) {}
 
     enum class Claim {
-        First,   // the key is this try's now, until it ends or is released
-        Repeat,  // another try has it
-        NoRoom   // neither: it may not run, and nothing has run
+        First,     // the key is this try's now, until it ends or is released
+        Repeat,    // another try has it
+        Conflict,  // a request with another body has it, so this is no try of that one
+        NoRoom     // it may not run, and nothing has run
     };
-    // A try that arrived at that time, read now.
-    Claim claim(const std::string& key, CommandId id, Nanos arrived, Nanos now, KeyTimes times);
+    // A try that arrived at that time, read now. All tries of a request have one body: bodyMark stands for
+    // it.
+    Claim claim(const std::string& key, CommandId id, std::size_t bodyMark, Nanos arrived, Nanos now,
+                KeyTimes times);
     // Whose key it is; 0: nobody's.
     CommandId holder(const std::string& key) const;
 
@@ -58,6 +61,7 @@
 private:
     struct Entry {
         CommandId first = 0;
+        std::size_t bodyMark = 0;
         Nanos windowEnds{0}, until{0};
         Outcome outcome = Outcome::Pending;
         std::optional<std::string> result;  // of one that ended well, while there is room
@@ -76,9 +80,9 @@
 
     const std::size_t most_;
     std::size_t bytes_ = 0;
-    std::uint64_t results_ = 0;                         // kept so far
-    Table table_;                                       // emptied by time and by release
-    std::set<std::pair<Nanos, std::string>> ends_;      // keys by when they run out
+    std::uint64_t results_ = 0;                          // kept so far
+    Table table_;                                        // emptied by time and by release
+    std::set<std::pair<Nanos, std::string>> ends_;       // keys by when they run out
     std::map<std::uint64_t, Table::iterator> byResult_;  // entries with a result, the oldest in front
 };
 
--- a/src/upstreams/scgi/groups.h
+++ b/src/upstreams/scgi/groups.h
@@ -65,6 +65,7 @@
     void start(const backend::Run& run) override;
     void halt(const std::string& name) override;
     void supply(const std::string&, std::string_view) override {}  // these servers make no calls through us
+    void leaveOut(const std::string&) override {}
     void askGauges() override;
     void verify(std::function<void(std::optional<bool>)> told) override;
 
--- a/tests/customers_test.cpp
+++ b/tests/customers_test.cpp
@@ -38,7 +38,7 @@
     report::Log log(lines, report::Level::Debug);
     report::Counters counters;
     const launch::Start start = testing::startOf(lastTier());
-    backend::Backend backend(loop, start.terms, 1 << 20, log, counters);
+    backend::Backend backend(loop, start.terms, 1 << 20, 1 << 20, log, counters);
     calls::Records records(loop, start.records, start.shares, backend, counters);
     records.begin(1, Sidecar::trace(1), 1s, "call");
     records.moveTo(std::nullopt);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -344,7 +344,7 @@
     bool up = true, answersPolls = true;
     std::string verifies = "ok";
     std::map<std::string, std::string> running, supplied, kinds;  // by job: body, reply, profile
-    std::vector<std::string> halted, refused;
+    std::vector<std::string> halted, refused, passed;
     std::vector<Json> binds, said;
     int starts = 0, polls = 0, checks = 0, boundOn = 0;
     std::uint64_t last = 0;
@@ -375,6 +375,8 @@
                 if (running.contains(job)) finish(job, "halted");
             } else if (type == "supply") {
                 supplied[job] = data;
+            } else if (type == "pass") {
+                passed.push_back(job);
             } else if (type == "poll") {
                 ++polls;
                 if (answersPolls)
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -165,12 +165,9 @@
         {"classes", [](Json& all) { all["settings"]["classes"] = Json::array(); }},
         {"worth", [](Json& all) { all["settings"]["classes"][0]["worth"] = "much"; }},
         {"repeat", [](Json& all) { all["settings"]["classes"][0]["repeat"] = "often"; }},
-        {"repeat", [](Json& all) { all["settings"]["classes"][0]["repeat"] = "guarded"; }},
+        {"window_us", [](Json& all) { all["settings"]["classes"][0]["repeat"] = "guarded"; }},
         {"deadline_us", [](Json& all) { all["settings"]["classes"][0].erase("deadline_us"); }},
-        {"degraded_worth",
-         [](Json& all) {
-             all["settings"]["family_info"]["degraded_worth"] = {0, 0.5};
-         }},
+        {"degraded_worth", [](Json& all) { all["settings"]["family_info"]["degraded_worth"] = "half"; }},
         {"below", [](Json& all) { all["settings"]["family_info"]["below"] = "off"; }},
         {"cores", [](Json& all) { all["settings"]["family_info"].erase("cores"); }},
         {"heap_kb", [](Json& all) { all["settings"]["family_info"]["heap_kb"] = -1; }},
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -638,7 +638,7 @@
     report::Log log(lines, report::Level::Debug);
     report::Counters counters;
     net::Loop loop;
-    backend::Backend backend(loop, StartTerms(), 1 << 20, log, counters);
+    backend::Backend backend(loop, StartTerms(), 1 << 20, 1 << 20, log, counters);
     launch::Shares shares;
     shares.calls = 4;
     shares.callBytes = 1 << 20;
