The pool's link ends in order where it moves, and moves also while there is none

With notices unread on it such a close is a reset, and commands that the pool had yet to read (the last 50 ms) go with it; safe ones were said again, others were failed when due. A probe with blocking sockets (the new test) shows the reset on the text before. At fault: pool_link.cpp moveTo. Changed: the old link ends in order, as sidecars' connections do. Tests: a move over an unread notice; two moves in a row, the first while the link is being opened, the second while there is none.

--- a/src/calls/records.h
+++ b/src/calls/records.h
@@ -17,8 +17,8 @@
 class Records : public backend::Calls {
 public:
     // Without an address nothing lies below, and each call is told as unreachable.
-    Records(net::Loop& loop, std::optional<net::Address> at, const launch::Shares& shares, backend::Backend& backend,
-            report::Counters& counters);
+    Records(net::Loop& loop, std::optional<net::Address> at, const launch::Shares& shares,
+            backend::Backend& backend, report::Counters& counters);
     ~Records() override;
 
     void begin(CommandId id, const std::string& name, Nanos patience, std::string_view body) override;
--- a/src/runs/pool_link.cpp
+++ b/src/runs/pool_link.cpp
@@ -60,6 +60,8 @@
     at_ = std::move(at);
     log_.info("pool", "moves to " + at_.host + ":" + std::to_string(at_.port));
     unbind();
+    // Closed over notices that were not read yet, it would be reset, and what was said last lost with it.
+    if (connection_) connection_->finish([] {});
     open();
 }
 
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -181,6 +181,48 @@
     EXPECT_FALSE(clients.front()->over());
 }
 
+// The link moves while notices lie on the old one: commands said last went with the reset of that one.
+TEST(Crossings, ALinkThatMovesEndsTheOldOneInOrder) {
+    net::Loop loop;
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Debug);
+    report::Counters counters;
+    const launch::Start start = testing::startOf(testing::plainStart());
+    backend::Backend backend(loop, start.terms, 1 << 20, 1 << 20, log, counters);
+    testing::RawServer before, after;
+    runs::PoolLink link(loop, {"127.0.0.1", before.port}, start.shares, {"read", "look"}, start.gauges, 7,
+                        backend, log, counters);
+    RawClient old(RawClient::Accepted{before.accept()});
+    until(loop, [&] { return old.receive() > 0; });  // bind
+    old.send("{\"type\":\"bound\",\"state\":\"warm\",\"took\":1}\n");
+    until(loop, [&] { return counters.of(Count::PoolLinks) == 1; });
+    link.askGauges();
+    old.send("{\"type\":\"chatter\",\"n\":1,\"state\":\"unread\"}\n");
+    link.moveTo({"127.0.0.1", after.port});
+    until(loop, [&] { return old.over(); });
+    EXPECT_TRUE(old.ended);
+    EXPECT_NE(old.text.find("poll"), std::string::npos);
+}
+
+// Two configurations in a row, the first to where nobody listens: the link is down, or being opened, as it
+// moves.
+TEST(Crossings, ALinkMovesWhileThereIsNone) {
+    net::Loop loop;
+    std::ostringstream lines;
+    report::Log log(lines, report::Level::Debug);
+    report::Counters counters;
+    const launch::Start start = testing::startOf(testing::plainStart());
+    backend::Backend backend(loop, start.terms, 1 << 20, 1 << 20, log, counters);
+    testing::Pool pool(loop);
+    runs::PoolLink link(loop, {"127.0.0.1", 1}, start.shares, {"read", "look"}, start.gauges, 7, backend, log,
+                        counters);
+    link.moveTo({"127.0.0.1", 1});  // while it is being opened
+    until(loop, [&] { return counters.of(ConnectionEnd::ConnectRefused) > 0; });
+    link.moveTo(pool.server.address());  // while it waits to be opened again
+    until(loop, [&] { return counters.of(Count::PoolLinks) == 1; });
+    EXPECT_EQ(pool.binds.size(), 1U);
+}
+
 Json leavesAtOnce() {
     Json start = testing::plainStart();
     start["stop_ms"] = 6000;
--- a/tests/raw_client.h
+++ b/tests/raw_client.h
@@ -14,8 +14,37 @@
 
 namespace cottonwing::testing {
 
+// The other side, on a port that the system chooses.
+class RawServer {
+public:
+    RawServer() : listener_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(::bind(listener_, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+        EXPECT_EQ(::listen(listener_, 16), 0);
+        socklen_t size = sizeof at;
+        EXPECT_EQ(::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size), 0);
+        port = ntohs(at.sin_port);
+    }
+    ~RawServer() { ::close(listener_); }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+    // Waits for the next connection, which the other side has opened.
+    int accept() const { return ::accept(listener_, nullptr, nullptr); }
+
+    int port = 0;
+
+private:
+    int listener_;
+};
+
 class RawClient {
 public:
+    struct Accepted {
+        int socket;
+    };
+    explicit RawClient(Accepted accepted) : socket_(accepted.socket) {}
     explicit RawClient(int port) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
         sockaddr_in at{};
         at.sin_family = AF_INET;
