cottonwing serve waits for its Thrift door to close before it ends

From reading: Gateway::turn could end the loop between the notice to send away and the poll behind which the Thrift listener closes, with connections in its queue, as Server::turn could before it asked. The same question is asked here now.

--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -114,7 +114,7 @@
 void Gateway::turn() {
     backend_.turn();
     const std::size_t there = (thrift_ ? thrift_->connections() : 0) + (scgi_ ? scgi_->connections() : 0);
-    if (!sentAway_ || backend_.unanswered() > 0 || there > 0) return;
+    if (!sentAway_ || (thrift_ && thrift_->listens()) || backend_.unanswered() > 0 || there > 0) return;
     log_.info("leaving", "nobody is left");
     loop_.stop();
 }
