--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -140,6 +140,22 @@
     EXPECT_EQ(on.count(ConnectionEnd::TimedOut), 1U);
 }
 
+// A run's end and the next command under its id, read in one turn, were one command to the module; the second
+// was never answered. Where the command is read first, it is refused as it always was.
+TEST(Crossings, AnIdIsInHandUntilTheModuleHasHeardOfItsEnd) {
+    Stage on;
+    on.bound();
+    Sidecar sidecar(on.loop, on.port());
+    const std::int32_t first = sidecar.ask(1);
+    on.wait([&] { return on.pool.running.contains(Sidecar::trace(1)); });
+    const std::int32_t second = sidecar.ask(1);
+    on.pool.finish(Sidecar::trace(1), "ok", "done");  // what is said last is written first
+    on.wait([&] { return sidecar.answers.contains(first) && sidecar.answers.contains(second); });
+    EXPECT_EQ(sidecar.answers[first].body, "done");
+    EXPECT_EQ(sidecar.answers[second].kind, "refusal");
+    on.expectBooksClosed();
+}
+
 // No bound is set for the work to expect: rough hints beyond the hard stop were refused.
 TEST(Crossings, MoreWorkThanFitsIsNoReasonToRefuse) {
     Stage on;
