Names: keyed, unidentified connections, in-flight requests, drain

The house's words hid the field's: tagged is keyed, strangers are unidentified connections, places are requests in flight, sent away is drain, the last moment is the stop timer. The experiments' files keep the word 'tagged', as they are their users'.

--- a/src/backend/backend.cpp
+++ b/src/backend/backend.cpp
@@ -57,7 +57,7 @@
         }
         return;
     }
-    if (profile.repeat == Repeat::Tagged) {
+    if (profile.repeat == Repeat::Keyed) {
         using Claim = state::IdempotencyKeys::Claim;
         const Nanos now = net::unixNow();
         // Marked with our seed, so that nobody finds a body of another meaning with the same mark.
--- a/src/fronts/scgi/front.cpp
+++ b/src/fronts/scgi/front.cpp
@@ -257,7 +257,7 @@
     tend_.start(kTend);
 }
 
-void ScgiFront::sendAway() { listener_.reset(); }
+void ScgiFront::drain() { listener_.reset(); }
 
 void ScgiFront::lastCall() {
     for (const auto& line : lines_)
--- a/src/fronts/scgi/front.h
+++ b/src/fronts/scgi/front.h
@@ -54,7 +54,7 @@
     void closeIdle(Nanos) override {}  // no connection is kept here
 
     // Nothing new is accepted; what is being read goes on, and the module decides what it is worth.
-    void sendAway();
+    void drain();
     // What is not whole by now is answered: it can't be any more.
     void lastCall();
     std::size_t connections() const { return lines_.size(); }
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -17,11 +17,11 @@
 constexpr int kMostStrikes = 8;     // messages of one connection that are refused before it is closed
 // A connection that has yet to send one whole message, and one that has begun a message, get this long.
 constexpr Nanos kFirstWord = 1500ms, kWholeMessage = 1500ms;
-constexpr Nanos kWrites = 2s;    // output that nobody takes ends its connection
-constexpr Nanos kSentAway = 1s;  // after goaway, before an idle connection is closed
+constexpr Nanos kWrites = 2s;   // output that nobody takes ends its connection
+constexpr Nanos kDrained = 1s;  // after goaway, before an idle connection is closed
 constexpr Nanos kTend = 100ms;
 constexpr Nanos kAhead = 1s;  // a command may be born so far ahead of our clock, or be due so far behind it
-constexpr std::size_t kStrangers =
+constexpr std::size_t kUnidentified =
     4;  // of the places, one in so many is for those that never said anything whole
 
 template <typename T>
@@ -96,7 +96,7 @@
         if (const auto client = number<std::int64_t>(fields, "client"); !client || *client < 0)
             return "client: a number of 0 or more was expected";
     if (fields.contains("redo") && given("redo") != "1") return "redo: 1 was expected";
-    if (terms.repeat == Repeat::Tagged) {
+    if (terms.repeat == Repeat::Keyed) {
         const std::string_view key = given("nonce");
         if (key.empty() || key.size() > kLongestKey) return "nonce: an idempotency key was expected";
         // One customer's key is not another's, and a key belongs to one profile.
@@ -129,7 +129,7 @@
     Nanos begun{0};                          // when the message began that is not whole yet; 0: none is
     Nanos stuck{0};                          // when the output was last seen to be taken; 0: there is none
     std::size_t unread = 0;                  // output at that time
-    Nanos awayAt{0};                         // when goaway was sent; 0: it was not
+    Nanos drainedAt{0};                      // when goaway was sent; 0: it was not
     int strikes = 0;
     std::optional<net::ConnectionEnd> barred;  // why nothing more is read: it ends when all is answered
     bool known = false;                        // one whole message has come
@@ -157,9 +157,9 @@
 Sidecars::~Sidecars() = default;
 
 void Sidecars::accept(uv_stream_t* listener) {
-    strangers_.push_back(std::make_shared<Line>(*this, listener));
-    Line& line = *strangers_.back();
-    line.place = std::prev(strangers_.end());
+    unidentified_.push_back(std::make_shared<Line>(*this, listener));
+    Line& line = *unidentified_.back();
+    line.place = std::prev(unidentified_.end());
     line.since = line.used = net::unixNow();
     counters_.add(Count::SidecarsOpened);
 }
@@ -168,10 +168,10 @@
 // with nothing open gives way to whoever comes, the longest unused first. Commands in hand keep theirs.
 bool Sidecars::makeRoom() {
     const bool full = connections() >= most_;
-    if (!full && strangers_.size() * kStrangers < most_) return true;
+    if (!full && unidentified_.size() * kUnidentified < most_) return true;
     const Nanos now = net::unixNow();
     // Those that came this moment may be about to speak, or their words are in that no turn has read.
-    for (const auto& line : strangers_) {
+    for (const auto& line : unidentified_) {
         if (now - line->since < kTend) break;
         if (line->connection.hasUnread()) continue;
         evict(*line);
@@ -228,7 +228,7 @@
         }
         if (message && !line.known) {
             line.known = true;
-            lines_.splice(lines_.end(), strangers_, line.place);
+            lines_.splice(lines_.end(), unidentified_, line.place);
         }
         if (message) touch(line);
         if (!message || !take(line, *message)) {
@@ -257,7 +257,7 @@
             if (open == line.open.end()) return true;  // answered already
             const CommandId id = open->second;
             line.open.erase(open);
-            places_.erase(id);
+            inFlight_.erase(id);
             backend_.callerLeft(id);
             return true;
         }
@@ -286,7 +286,7 @@
     if (why.empty() && backend_.has(arrival.command.id)) why = "trace: in hand already";
     if (!why.empty()) return refuse(line, message, Refusal::Internal, why);
     line.open.emplace(message.sequence, arrival.command.id);
-    places_[arrival.command.id] = {&line, message.sequence};
+    inFlight_[arrival.command.id] = {&line, message.sequence};
     backend_.take(std::move(arrival));
 }
 
@@ -309,7 +309,7 @@
 
 void Sidecars::handled(CommandId id, std::string_view result) {
     // What is worth handling makes good for what could not be read, on a connection that lives for long.
-    if (const auto place = places_.find(id); place != places_.end()) place->second.line->strikes = 0;
+    if (const auto place = inFlight_.find(id); place != inFlight_.end()) place->second.line->strikes = 0;
     answer(id, [&](std::int32_t sequence) { return writeAnswer("serve", sequence, result, advice(), true); });
 }
 
@@ -325,16 +325,16 @@
 }
 
 void Sidecars::unknown(CommandId id) {
-    if (const auto place = places_.find(id); place != places_.end()) ++place->second.line->strikes;
+    if (const auto place = inFlight_.find(id); place != inFlight_.end()) ++place->second.line->strikes;
     scrapped(id);
 }
 
 // The one place where a command's place is freed by an answer.
 void Sidecars::answer(CommandId id, const std::function<std::string(std::int32_t)>& frame) {
-    const auto place = places_.find(id);
-    if (place == places_.end()) return;
+    const auto place = inFlight_.find(id);
+    if (place == inFlight_.end()) return;
     const auto [line, sequence] = place->second;
-    places_.erase(place);
+    inFlight_.erase(place);
     line->open.erase(sequence);
     write(*line, frame(sequence));
 }
@@ -381,10 +381,10 @@
 void Sidecars::forgetAll(Line& line) {
     const auto open = std::move(line.open);
     for (const auto& [sequence, id] : open) {
-        places_.erase(id);
+        inFlight_.erase(id);
         backend_.callerLeft(id);
     }
-    (line.known ? lines_ : strangers_).erase(line.place);
+    (line.known ? lines_ : unidentified_).erase(line.place);
 }
 
 // Looks at all connections, whose number is bounded, ten times a second: one without words, one that is too
@@ -392,8 +392,8 @@
 void Sidecars::tend() {
     const Nanos now = net::unixNow();
     tend_.start(kTend);
-    while (!strangers_.empty() && now - strangers_.front()->since >= kFirstWord)
-        finish(*strangers_.front(), net::ConnectionEnd::TimedOut);
+    while (!unidentified_.empty() && now - unidentified_.front()->since >= kFirstWord)
+        finish(*unidentified_.front(), net::ConnectionEnd::TimedOut);
     for (auto next = lines_.begin(); next != lines_.end();) {
         Line& line = **next++;
         const std::size_t output = line.connection.output().size();
@@ -409,23 +409,23 @@
             bar(line, net::ConnectionEnd::Malformed);
         if (line.barred && line.open.empty())
             finish(line, *line.barred);
-        else if (line.awayAt > 0ns && now - line.awayAt >= kSentAway && atRest(line))
+        else if (line.drainedAt > 0ns && now - line.drainedAt >= kDrained && atRest(line))
             finish(line, net::ConnectionEnd::Unused);
-        else if (line.open.empty() && line.awayAt == 0ns && idle_ > 0ns && now - line.used >= idle_)
-            sendAway(line);
+        else if (line.open.empty() && line.drainedAt == 0ns && idle_ > 0ns && now - line.used >= idle_)
+            drain(line);
     }
     if (listener_) listener_->resume();
 }
 
 // Sent away rather than closed: a command that crosses is still served.
-void Sidecars::sendAway(Line& line) {
-    if (line.awayAt > 0ns) return;
-    line.awayAt = net::unixNow();
+void Sidecars::drain(Line& line) {
+    if (line.drainedAt > 0ns) return;
+    line.drainedAt = net::unixNow();
     line.connection.send(writeGoaway());
 }
 
 // What lies at the listener was accepted by the system, and is ours to answer: it is taken in first.
-void Sidecars::sendAway() {
+void Sidecars::drain() {
     loop_.afterPoll([this, here = std::weak_ptr<std::size_t>(ending_)] {
         if (!here.expired()) closeDoor();
     });
@@ -433,8 +433,8 @@
 
 void Sidecars::closeDoor() {
     listener_.reset();
-    for (const Lines* list : {&lines_, &strangers_})
-        for (const auto& line : *list) sendAway(*line);
+    for (const Lines* list : {&lines_, &unidentified_})
+        for (const auto& line : *list) drain(*line);
 }
 
 }  // namespace cottonwing::intake
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -29,16 +29,16 @@
     void closeIdle(Nanos unusedFor) override { idle_ = unusedFor; }
 
     // No new connections and no new commands on those there are.
-    void sendAway();
+    void drain();
     // Those that are ending hold their descriptors still.
-    std::size_t connections() const { return lines_.size() + strangers_.size() + *ending_; }
+    std::size_t connections() const { return lines_.size() + unidentified_.size() + *ending_; }
     bool listens() const { return listener_ != nullptr; }
     int port() const { return listener_->port(); }
 
 private:
     struct Line;  // one connection
     using Lines = std::list<std::shared_ptr<Line>>;
-    struct Place {
+    struct InFlight {
         Line* line;
         std::int32_t sequence;
     };
@@ -62,7 +62,7 @@
     bool makeRoom();
     void evict(Line& line);
     void closeDoor();
-    void sendAway(Line& line);
+    void drain(Line& line);
     void tellHealth(Line& line, std::int32_t sequence, bool good);
     Fields advice() const;
 
@@ -75,11 +75,11 @@
     backend::Backend& backend_;
     report::Log& log_;
     report::Counters& counters_;
-    Lines lines_;      // the longest without traffic in front; emptied by the ends of connections
-    Lines strangers_;  // those that have yet to say something whole, the oldest in front; emptied by that or
-                       // by time
+    Lines lines_;         // the longest without traffic in front; emptied by the ends of connections
+    Lines unidentified_;  // those that have yet to say something whole, the oldest in front; emptied by that
+                          // or by time
     std::shared_ptr<std::size_t> ending_ = std::make_shared<std::size_t>(0);  // emptied as they are closed
-    std::unordered_map<CommandId, Place> places_;  // open commands; emptied by answers, forget and ends
+    std::unordered_map<CommandId, InFlight> inFlight_;  // open commands; emptied by answers, forget and ends
     Nanos idle_{0};  // connections without traffic for this long are sent away; 0: none
     net::Timer tend_;
     std::string scratch_;
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -29,7 +29,7 @@
 }
 
 const std::vector<std::pair<std::string, Repeat>> kRepeats = {
-    {"repeatable", Repeat::Repeatable}, {"tagged", Repeat::Tagged}, {"once-only", Repeat::OnceOnly}};
+    {"repeatable", Repeat::Repeatable}, {"tagged", Repeat::Keyed}, {"once-only", Repeat::OnceOnly}};
 
 Profile readProfile(const kdl::Node& node) {
     kdl::Fields in(node);
--- a/src/launch/start.cpp
+++ b/src/launch/start.cpp
@@ -66,7 +66,7 @@
 // What contradicts itself, or lacks what a backend can't do without.
 void refuseContradictions(const StartTerms& terms) {
     for (const ProfileTerms& profile : terms.profiles) {
-        if (profile.repeat == Repeat::Tagged && profile.window <= 0ns)
+        if (profile.repeat == Repeat::Keyed && profile.window <= 0ns)
             complain("settings.classes[].window_us", "a time above 0 was expected, as the class is guarded");
         if (profile.hardStop <= 0ns)
             complain("settings.classes[].deadline_us", "a time above 0 was expected");
--- a/src/launch/terms.cpp
+++ b/src/launch/terms.cpp
@@ -71,7 +71,7 @@
         const std::size_t at = terms.profiles.size();
         profile.repeat = choice<Repeat>(
             entry, "repeat",
-            {{"free", Repeat::Repeatable}, {"guarded", Repeat::Tagged}, {"single_shot", Repeat::OnceOnly}},
+            {{"free", Repeat::Repeatable}, {"guarded", Repeat::Keyed}, {"single_shot", Repeat::OnceOnly}},
             Repeat::OnceOnly);
         profile.promised = microsOr(entry, "aim_us", 0);
         profile.hardStop = microsOr(entry, "deadline_us", 0);
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -198,7 +198,7 @@
         // Either it is still here or some try of it ran: only the answer of that one may be given, also after
         // the grace. Joined ones eat memory too, so past the mark they are scrapped; a bounce would promise
         // that no try ran.
-        if (row.terms.repeat == Repeat::Tagged && command.repeats != 0) {
+        if (row.terms.repeat == Repeat::Keyed && command.repeats != 0) {
             at->second.phase = Phase::Joined;
             if (memoryKb() > kMemoryMark * terms_.memoryKb) return giveUp(at);
             return out_->join(command.id);
@@ -207,7 +207,7 @@
         if (stopAt_ && in.reached > noticeAt_ + terms_.drainGrace) return giveUp(at);
         // An entry has to outlive the window of whatever may run from it; without room for one it can't be
         // run.
-        const double entry = row.terms.repeat == Repeat::Tagged ? terms_.entryKb : 0;
+        const double entry = row.terms.repeat == Repeat::Keyed ? terms_.entryKb : 0;
         if (memoryKb() + entry > kMemoryMark * terms_.memoryKb) return giveUp(at);
         if (entry > 0) {
             at->second.entry = true;
--- a/src/logic.h
+++ b/src/logic.h
@@ -15,7 +15,7 @@
 using Nanos = std::chrono::nanoseconds;
 using CommandId = std::uint64_t;
 
-enum class Repeat { Repeatable, Tagged, OnceOnly };
+enum class Repeat { Repeatable, Keyed, OnceOnly };
 enum class Halting { Never, Abort, Pause };
 enum class FreeValue { None, Level, Window, Share };
 enum class Below { Nothing, Shared, Tier };
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Nanos kLastMoment = 60ms;  // before the process is killed, whatever is left
+constexpr Nanos kBeforeStop = 60ms;  // before the process is killed, whatever is left
 constexpr Nanos kLastCall = 300ms;   // before it, what is still being read is answered
 
 ServeTerms seeded(ServeTerms terms) {
@@ -28,17 +28,17 @@
       backend_(loop, terms_.terms, terms_.shares.commandBytes, terms_.shares.keyBytes, log, counters),
       groups_(loop, terms_.groups, terms_.groupOf, terms_.terms.profiles, terms_.profileNames,
               terms_.groupBounds, terms_.seed, backend_, log),
-      away_(loop,
-            [this] {
-                sentAway_ = true;
-                if (thrift_) thrift_->sendAway();
-                if (scgi_) scgi_->sendAway();
-            }),
+      drainTimer_(loop,
+                  [this] {
+                      draining_ = true;
+                      if (thrift_) thrift_->drain();
+                      if (scgi_) scgi_->drain();
+                  }),
       lastCall_(loop,
                 [this] {
                     if (scgi_) scgi_->lastCall();
                 }),
-      lastMoment_(loop, [this] { loop_.stop(); }) {
+      stopTimer_(loop, [this] { loop_.stop(); }) {
     if (terms_.thrift)
         thrift_ = std::make_unique<intake::Sidecars>(loop, *terms_.thrift, terms_.shares, terms_.names,
                                                      terms_.terms.profiles, true, backend_, log, counters);
@@ -68,9 +68,9 @@
     if (leaving_) return;
     leaving_ = true;
     backend_.leave(net::unixNow() + terms_.stopAfter);
-    away_.start(terms_.grace);
+    drainTimer_.start(terms_.grace);
     lastCall_.start(std::max(terms_.grace, terms_.stopAfter - kLastCall));
-    lastMoment_.start(terms_.stopAfter - kLastMoment);
+    stopTimer_.start(terms_.stopAfter - kBeforeStop);
 }
 
 void Gateway::readAgain(const std::string& path) {
@@ -114,7 +114,7 @@
 void Gateway::turn() {
     backend_.turn();
     const std::size_t there = (thrift_ ? thrift_->connections() : 0) + (scgi_ ? scgi_->connections() : 0);
-    if (!sentAway_ || (thrift_ && thrift_->listens()) || backend_.unanswered() > 0 || there > 0) return;
+    if (!draining_ || (thrift_ && thrift_->listens()) || backend_.unanswered() > 0 || there > 0) return;
     log_.info("leaving", "nobody is left");
     loop_.stop();
 }
--- a/src/serve/gateway.h
+++ b/src/serve/gateway.h
@@ -41,8 +41,8 @@
     upstreams::ScgiGroups groups_;
     std::unique_ptr<intake::Sidecars> thrift_;
     std::unique_ptr<fronts::ScgiFront> scgi_;
-    net::Timer away_, lastCall_, lastMoment_;
-    bool leaving_ = false, sentAway_ = false;
+    net::Timer drainTimer_, lastCall_, stopTimer_;
+    bool leaving_ = false, draining_ = false;
 };
 
 }  // namespace cottonwing::serve
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -6,7 +6,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr Nanos kLastMoment = 60ms;  // before the process is killed, whatever is left
+constexpr Nanos kBeforeStop = 60ms;  // before the process is killed, whatever is left
 
 std::vector<std::string> inOrder(const std::map<std::string, int, std::less<>>& names) {
     std::vector<std::string> result(names.size());
@@ -30,12 +30,12 @@
       sidecars_(loop, start.listen, start.shares, start.names, start.terms.profiles, start.patienceTold,
                 backend_, log, counters),
       registry_(loop, start.registry, start.name, log, counters),
-      away_(loop,
-            [this] {
-                sentAway_ = true;
-                sidecars_.sendAway();
-            }),
-      lastMoment_(loop, [this] { loop_.stop(); }) {
+      drainTimer_(loop,
+                  [this] {
+                      draining_ = true;
+                      sidecars_.drain();
+                  }),
+      stopTimer_(loop, [this] { loop_.stop(); }) {
     backend_.joinLinks(sidecars_, pool_, records_);
     backend_.onHealth([this, follows = start.listFollowsHealth](bool good) {
         registry_.say(!leaving_ && (good || !follows));
@@ -49,8 +49,8 @@
     leaving_ = true;
     registry_.say(false);
     backend_.leave(net::unixNow() + stopAfter_);
-    away_.start(grace_);
-    lastMoment_.start(stopAfter_ - kLastMoment);
+    drainTimer_.start(grace_);
+    stopTimer_.start(stopAfter_ - kBeforeStop);
 }
 
 void Server::readAgain(const launch::Environment& environment) {
@@ -78,7 +78,7 @@
 
 void Server::turn() {
     backend_.turn();
-    if (!sentAway_ || sidecars_.listens() || backend_.unanswered() > 0 || sidecars_.connections() > 0) return;
+    if (!draining_ || sidecars_.listens() || backend_.unanswered() > 0 || sidecars_.connections() > 0) return;
     log_.info("leaving", "nobody is left");
     loop_.stop();
 }
--- a/src/server.h
+++ b/src/server.h
@@ -38,8 +38,8 @@
     calls::Records records_;
     intake::Sidecars sidecars_;
     listing::Registry registry_;
-    net::Timer away_, lastMoment_;
-    bool leaving_ = false, sentAway_ = false;
+    net::Timer drainTimer_, stopTimer_;
+    bool leaving_ = false, draining_ = false;
 };
 
 }  // namespace cottonwing
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -24,7 +24,7 @@
     Budget budget(terms);
     Tried tried;
     tried.stopsAt = 10s;
-    for (const Repeat repeat : {Repeat::OnceOnly, Repeat::Tagged, Repeat::Repeatable}) {
+    for (const Repeat repeat : {Repeat::OnceOnly, Repeat::Keyed, Repeat::Repeatable}) {
         tried.repeat = repeat;
         tried.began = Began::Never;
         EXPECT_EQ(again(terms, budget, tried, 0s, chance).why, Why::Again);
--- a/tests/helpers.h
+++ b/tests/helpers.h
@@ -32,7 +32,7 @@
     StartTerms terms;
     terms.seed = 7;
     terms.profiles = {{Repeat::Repeatable, 2s, 0, 5s, 5s, 1, 0, 0, true},
-                      {Repeat::Tagged, 2s, 0, 5s, 3s, 4, 0.2, 0, true},
+                      {Repeat::Keyed, 2s, 0, 5s, 3s, 4, 0.2, 0, true},
                       {Repeat::OnceOnly, 2s, 0, 5s, 5s, 2, 0, 0.5, true}};
     terms.goalWorstProfile = 0.2;
     terms.peers = 4;
@@ -179,7 +179,7 @@
         Work& w = work.at(id);
         rule(w.at == At::Hold && !w.answered && !w.ran, "started twice");
         if (noticeAt >= 0ns) rule(w.reached <= noticeAt + terms.drainGrace, "started after the grace");
-        if (repeat(w) == Repeat::Tagged) {
+        if (repeat(w) == Repeat::Keyed) {
             const auto ran = ranTags.find(tag(w));
             if (ran != ranTags.end())
                 rule(w.reached > ran->second.first + terms.profiles[w.command.profile].window, "twice");
