Tests: SIGTERM before the machine is there, SIGTERM with SIGHUP

Both orders were asked about and held as the text stands: commands are denied, health never turns good, and the registry of a new file hears of the drain alone.

--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -239,6 +239,49 @@
     EXPECT_EQ(pool.binds.size(), 1U);
 }
 
+// SIGTERM before the first word of the machine: it stays told as draining when that comes up after all.
+TEST(Crossings, ToldToLeaveBeforeTheMachineIsThere) {
+    Stage on;
+    on.pool.up = false;
+    on.wait([&] { return on.pool.binds.size() == 1; });
+    Sidecar sidecar(on.loop, on.port());
+    on.program->leave();
+    const std::int32_t early = sidecar.ask(1);
+    on.wait([&] { return sidecar.answers.contains(early); });
+    EXPECT_EQ(sidecar.answers[early].kind, "busy");
+    on.pool.send({{"type", "bound"}, {"state", "cold"}, {"took", 0}});
+    on.wait([&] { return on.count(Count::PoolLinks) == 1; });
+    sidecar.say(frames::isWell(++sidecar.sequence, false));
+    on.wait([&] { return sidecar.answers.contains(sidecar.sequence); });
+    EXPECT_FALSE(sidecar.answers[sidecar.sequence].good);
+    on.wait(
+        [&] { return !on.registry.bodies.empty() && on.registry.bodies.back() != R"({"state":"ready"})"; });
+    const std::size_t told = on.registry.bodies.size();
+    on.wait([&] { return on.registry.bodies.size() > told; });
+    EXPECT_EQ(on.registry.bodies.back(), R"({"state":"draining"})");
+    on.expectBooksClosed();
+}
+
+// SIGTERM and SIGHUP together: the registry of the new file hears of the drain, and of nothing else.
+TEST(Crossings, ANewRegistryHearsOfADrainThatIsUnderWay) {
+    Stage on;
+    on.bound();
+    testing::HttpStandIn other(on.loop, [](net::Connection&, const std::string&, const std::string&) {
+        return testing::HttpStandIn::reply(204);
+    });
+    const auto text = [](const net::Address& at) { return at.host + ":" + std::to_string(at.port); };
+    Json next = testing::plainStart();
+    next["pool"] = text(on.pool.server.address());
+    next["records"] = text(on.records.server.address());
+    next["registry"] = text(other.server.address());
+    on.program->leave();
+    on.readAgain(next);
+    on.readAgain(next);  // and once more: nothing moves
+    on.wait([&] { return !other.bodies.empty(); });
+    for (const std::string& body : other.bodies) EXPECT_EQ(body, R"({"state":"draining"})");
+    EXPECT_EQ(on.count(Count::Reloads), 2U);
+}
+
 Json leavesAtOnce() {
     Json start = testing::plainStart();
     start["stop_ms"] = 6000;
