--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -44,7 +44,7 @@
 struct Arrival {
     Command command;
     std::string name, body;
-    std::string key;  // the idempotency key, where its profile is tagged: the same in all tries of a request
+    std::string key;  // the idempotency key, where its profile is keyed: the same in all tries of a request
     Form form = Form::Plain;
     std::uint64_t subject = 0;  // what it is about, for those that route by it
     Door* from = nullptr;
--- a/src/intake/sidecars.cpp
+++ b/src/intake/sidecars.cpp
@@ -388,7 +388,7 @@
 }
 
 // Looks at all connections, whose number is bounded, ten times a second: one without words, one that is too
-// slow with a message or at taking its answers, and one that was sent away and stays, goes.
+// slow with a message or at taking its answers, and one that was told to drain and stays, goes.
 void Sidecars::tend() {
     const Nanos now = net::unixNow();
     tend_.start(kTend);
@@ -417,7 +417,7 @@
     if (listener_) listener_->resume();
 }
 
-// Sent away rather than closed: a command that crosses is still served.
+// Drained rather than closed: a command that crosses is still served.
 void Sidecars::drain(Line& line) {
     if (line.drainedAt > 0ns) return;
     line.drainedAt = net::unixNow();
--- a/src/intake/sidecars.h
+++ b/src/intake/sidecars.h
@@ -80,7 +80,7 @@
                           // or by time
     std::shared_ptr<std::size_t> ending_ = std::make_shared<std::size_t>(0);  // emptied as they are closed
     std::unordered_map<CommandId, InFlight> inFlight_;  // open commands; emptied by answers, forget and ends
-    Nanos idle_{0};  // connections without traffic for this long are sent away; 0: none
+    Nanos idle_{0};  // connections without traffic for this long are drained; 0: none
     net::Timer tend_;
     std::string scratch_;
     std::unique_ptr<net::Listener> listener_;
--- a/src/logic.h
+++ b/src/logic.h
@@ -37,7 +37,7 @@
     Nanos promised{0};           // full earnings up to here, counted from the first try
     double promisedStretch = 0;  // grows the promised time by this multiple of the command's own work
     Nanos hardStop{0};           // what a client waits in all
-    Nanos window{0};             // tagged: how long a repeat may still come
+    Nanos window{0};             // keyed: how long a repeat may still come
     double earnings = 1;
     double lateShare = 0;    // part of the earnings after the promised time
     double poorerShare = 0;  // part of the earnings when a call was left out; 0: may not be left out
--- a/src/server.h
+++ b/src/server.h
@@ -15,7 +15,7 @@
     Server(net::Loop& loop, const launch::Start& start, report::Log& log, report::Counters& counters);
 
     // The notice to leave: the list is told at once, all that was read is answered, and what comes after the
-    // grace is sent away. The loop stops when nobody is left, and at the last moment in any case.
+    // grace is drained. The loop stops when nobody is left, and shortly before the stop in any case.
     void leave();
     // The file has changed: the links move to the addresses it has now. One that can't be read is refused
     // whole.
