A request that is read in the last turn before the process ends is answered

Cause: the stop timer stopped the loop. libuv still looks at the sockets once in that turn; requests read there wait for the end of the next turn, which does not come. `cottonwing serve` stopped in the same way.

Change: at the stop nothing more is read, the controller decides on what was read, what is then unanswered fails, and the answers are written. What comes later crosses the end of its connection.

Tests: Crossings.ARequestReadInTheLastTurnIsAnswered and Gateway.AThriftRequestReadInTheLastTurnIsAnswered send a request in every turn around the stop.

--- a/src/request/request_manager.cpp
+++ b/src/request/request_manager.cpp
@@ -301,6 +301,17 @@
     }
 }
 
+void RequestManager::failUnanswered() {
+    std::vector<RequestId> unanswered;
+    for (const auto& [id, request] : table_)
+        if (request.isClientWaiting()) unanswered.push_back(id);
+    for (const RequestId id : unanswered) {
+        // The answer to one may have ended others that waited for it.
+        const auto entry = findWaiting(id);
+        if (entry != table_.end()) answerFailed(entry);
+    }
+}
+
 // ---- Decisions of the controller ------------------------------------------------------------------------
 // The request of a decision may have ended since the events that the decision rests on.
 
--- a/src/request/request_manager.h
+++ b/src/request/request_manager.h
@@ -103,6 +103,9 @@
     /// called at the end of each turn of the loop.
     void processEvents();
 
+    /// Fails every request that is still unanswered, for the end of the process: the controller is not told.
+    void failUnanswered();
+
     // ---- Observation.
 
     /// @return the health as the controller set it last.
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -39,7 +39,7 @@
                 [this] {
                     if (scgi_) scgi_->lastCall();
                 }),
-      stopTimer_(loop, [this] { loop_.stop(); }) {
+      stopTimer_(loop, [this] { stop(); }) {
     if (terms_.thrift)
         thrift_ = std::make_unique<thrift::ThriftServer>(loop, *terms_.thrift, terms_.shares, terms_.names,
                                                          terms_.terms.requestClasses, true, backend_, log,
@@ -75,6 +75,15 @@
     stopTimer_.start(terms_.stopAfter - kBeforeStop);
 }
 
+// All that was read is answered, and nothing is read any more; the SCGI front reads nothing since lastCall.
+void Gateway::stop() {
+    if (thrift_) thrift_->stopReading();
+    backend_.processEvents();
+    backend_.failUnanswered();
+    if (thrift_) thrift_->writeLast();
+    loop_.stop();
+}
+
 void Gateway::readAgain(const std::string& path) {
     ServeTerms next;
     try {
--- a/src/serve/gateway.h
+++ b/src/serve/gateway.h
@@ -31,6 +31,7 @@
         void abandonCall(RequestId) override {}
     };
     void turn();
+    void stop();
 
     net::Loop& loop_;
     const ServeTerms terms_;
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -38,7 +38,7 @@
                     config.clientsSendTimeout, requests_, log, counters),
       registryClient_(loop, config.registry, config.name, log, counters),
       drainTimer_(loop, [this] { beginDraining(); }),
-      stopTimer_(loop, [this] { loop_.stop(); }) {
+      stopTimer_(loop, [this] { stop(); }) {
     requests_.connect(thriftServer_, workerPoolClient_, dependencyClient_);
     requests_.onHealthChange([this, deregister = config.deregisterWhenUnhealthy](bool healthy) {
         registryClient_.reportReady(!shuttingDown_ && (healthy || !deregister));
@@ -78,6 +78,16 @@
             log_.warn("reload", "change ignored until restart: key=" + key);
 }
 
+// The turn that ends here may have read requests already, and looks at the sockets once more if it has not
+// yet: all that was read is answered, and nothing is read any more.
+void Server::stop() {
+    thriftServer_.stopReading();
+    requests_.processEvents();
+    requests_.failUnanswered();
+    thriftServer_.writeLast();
+    loop_.stop();
+}
+
 // Returns the number of clients whose address has changed.
 int Server::moveClients(const config::ProcessConfig& next) {
     int moved = 0;
--- a/src/server.h
+++ b/src/server.h
@@ -38,6 +38,7 @@
 private:
     void turnEnded();
     void beginDraining();
+    void stop();
     bool isDrained() const;
     int moveClients(const config::ProcessConfig& next);
 
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -331,9 +331,23 @@
 
 void ThriftServer::stopListening() {
     listener_.reset();
-    const Timestamp now = net::unixNow();
+    forEachConnection([now = net::unixNow()](ThriftConnection& connection) { connection.drain(now); });
+}
+
+void ThriftServer::stopReading() {
+    forEachConnection(
+        [](ThriftConnection& connection) { connection.stopReading(net::ConnectionEnd::Unused); });
+}
+
+void ThriftServer::writeLast() {
+    forEachConnection([](ThriftConnection& connection) { connection.writeLast(); });
+}
+
+// The action must not remove connections.
+template <typename Action>
+void ThriftServer::forEachConnection(Action&& action) {
     for (const ConnectionList* list : {&connections_.identified(), &connections_.newConnections()}) {
-        for (const auto& connection : *list) connection->drain(now);
+        for (const auto& connection : *list) action(*connection);
     }
 }
 
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -47,6 +47,11 @@
 
     /// Takes no new connections, and asks the clients for no new requests on those there are.
     void drain();
+    /// Nothing more is read: a request that was read now could not be answered before the process ends. To its
+    /// client it crosses the end of the connection.
+    void stopReading();
+    /// Writes what the system takes at once of the answers that wait.
+    void writeLast();
     /// Connections that hold a descriptor, those that are being closed included.
     std::size_t connections() const { return connections_.size() + *closing_; }
     bool isListening() const { return listener_ != nullptr; }
@@ -89,6 +94,8 @@
     void closeSilentConnections(Timestamp now);
     void checkConnection(ThriftConnection& connection, Timestamp now);
     void stopListening();
+    template <typename Action>
+    void forEachConnection(Action&& action);
 
     net::Loop& loop_;
     const std::shared_ptr<net::MemoryBudget> total_;
--- a/tests/request/crossings_test.cpp
+++ b/tests/request/crossings_test.cpp
@@ -1,10 +1,12 @@
 /// @file
 /// Pairs of events that may meet in an unexpected order: each test makes that order happen every time.
 /// docs/design/crossings.md lists them.
+#include <string>
 #include <thread>
 
 #include "helpers.h"
 #include "raw_client.h"
+#include "support/before_each_poll.h"
 
 namespace cottonwing {
 namespace {
@@ -331,6 +333,39 @@
     on.expectBooksClosed();
 }
 
+std::size_t occurrences(const std::string& text, const std::string& word) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(word); at != text.npos; at = text.find(word, at + 1)) ++count;
+    return count;
+}
+
+// Guards against a request that is read in the turn in which the process stops, and never answered: one comes
+// in every turn around that time.
+TEST(Crossings, ARequestReadInTheLastTurnIsAnswered) {
+    Json start = testing::plainConfigFile();
+    start["stop_ms"] = 800;  // an idle connection is not closed before that
+    ServerFixture on(start);
+    on.bound();
+    RawClient client(on.port());
+    client.send(frames::isWell(1, false));
+    on.wait([&] { return client.receive() > 0; });
+    client.text.clear();
+    const Duration from = net::unixNow();
+    on.program->leave();
+    int number = 1;
+    const testing::BeforeEachPoll sender(on.loop, [&] {
+        if (net::unixNow() < from + on.server.shutdownTimeout - 100ms) return;
+        ++number;
+        client.send(serveRequest(number, number));
+    });
+    on.loop.run();
+    EXPECT_GT(number, 2);
+    EXPECT_GT(on.count(Count::RequestsRead), 0U);
+    on.expectBooksClosed();
+    client.over();
+    EXPECT_EQ(occurrences(client.text, "serve"), on.count(Count::RequestsRead));
+}
+
 // A turn that begins past the time to close a draining connection, with a request on it unread.
 TEST(Crossings, ADrainingConnectionIsNotClosedWithAnUnreadRequest) {
     ServerFixture on(startWithoutDrainGrace());
--- a/tests/scgi_test.cpp
+++ b/tests/scgi_test.cpp
@@ -13,7 +13,9 @@
 #include "helpers.h"
 #include "lab/emulate/scgi_server.h"
 #include "lab/sidecar_thrift.h"
+#include "raw_client.h"
 #include "serve/gateway.h"
+#include "support/before_each_poll.h"
 
 namespace cottonwing {
 namespace {
@@ -297,6 +299,27 @@
     hall.expectBooksClosed();
 }
 
+// Guards against a request that is read in the turn in which the process stops, and never answered.
+TEST(Gateway, AThriftRequestReadInTheLastTurnIsAnswered) {
+    Hall hall({lab::ScgiServerTerms{}});
+    testing::RawClient client(hall.gateway->thrift()->port());
+    client.send(testing::frames::isWell(1, false));
+    runUntil(hall.loop, [&] { return client.receive() > 0; });
+    const Duration from = net::unixNow();
+    hall.gateway->leave();
+    int number = 1;
+    const testing::BeforeEachPoll sender(hall.loop, [&] {
+        // From before an idle connection would be closed on.
+        if (net::unixNow() - from < 1200ms) return;
+        ++number;
+        client.send(testing::frames::serve(
+            number, testing::ThriftTestClient::fields(number, "cause-list", 1500), "body"));
+    });
+    hall.loop.run();
+    EXPECT_GT(hall.counters.of(telemetry::Count::RequestsRead), 0U);
+    hall.expectBooksClosed();
+}
+
 // Each fault of a server costs its own attempt: another answers what may be
 // asked again; what is once-only fails and never runs twice.
 TEST(Gateway, FaultsOfServersCostOneAttemptAndOnceOnlyNeverRunsTwice) {
--- /dev/null
+++ b/tests/support/before_each_poll.h
@@ -0,0 +1,36 @@
+/// @file
+/// Has a test act in the middle of a turn of the loop.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <utility>
+
+#include "net/loop.h"
+
+namespace cottonwing::testing {
+
+/// Calls a function in each turn of the loop, after its timers and before it looks at the sockets.
+class BeforeEachPoll {
+public:
+    BeforeEachPoll(net::Loop& loop, std::function<void()> what)
+        : handle_(new uv_prepare_t), what_(std::move(what)) {
+        uv_prepare_init(loop.raw(), handle_);
+        handle_->data = this;
+        uv_prepare_start(handle_,
+                         [](uv_prepare_t* handle) { static_cast<BeforeEachPoll*>(handle->data)->what_(); });
+    }
+    ~BeforeEachPoll() {
+        uv_close(reinterpret_cast<uv_handle_t*>(handle_),
+                 [](uv_handle_t* closed) { delete reinterpret_cast<uv_prepare_t*>(closed); });
+    }
+    BeforeEachPoll(const BeforeEachPoll&) = delete;
+    BeforeEachPoll& operator=(const BeforeEachPoll&) = delete;
+
+private:
+    uv_prepare_t* handle_;
+    std::function<void()> what_;
+};
+
+}  // namespace cottonwing::testing
