SCGI connections that wait at the listener are taken in before the drain closes it

Seen: a client whose connection the system had accepted in the moment of the drain was reset with its request unread. Found by looking for the Thrift server's mended crossing elsewhere, confirmed by the test.

Cause: ScgiFront::drain closed the listener at once; the Thrift server closes it after the poll that accepts what waits there (design/crossings).

Change: the same in the SCGI front; the gateway waits for that listener before it says that nobody is left.

Test: Gateway.AnScgiConnectionThatWaitsAtTheListenerIsAnsweredAtTheDrain fails before (reset, 4 of 4 plays) and passes after (6 of 6); the 17 tests of gateway and SCGI pass.

--- a/src/fronts/scgi/front.cpp
+++ b/src/fronts/scgi/front.cpp
@@ -258,7 +258,13 @@
     tend_.start(kTend);
 }
 
-void ScgiFront::drain() { listener_.reset(); }
+// Connections that lie at the listener were accepted by the system, and are ours to answer: they are taken in
+// first.
+void ScgiFront::drain() {
+    loop_.afterPoll([this, alive = std::weak_ptr<net::MemoryBudget>(total_)] {
+        if (!alive.expired()) listener_.reset();
+    });
+}
 
 void ScgiFront::lastCall() {
     for (const auto& line : lines_)
--- a/src/fronts/scgi/front.h
+++ b/src/fronts/scgi/front.h
@@ -59,6 +59,7 @@
     void lastCall();
     std::size_t connections() const { return lines_.size(); }
     const ScgiFrontCounts& counts() const { return counts_; }
+    bool isListening() const { return listener_ != nullptr; }
     int port() const { return port_; }
 
 private:
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -125,8 +125,8 @@
 void Gateway::turn() {
     backend_.processEvents();
     const std::size_t there = (thrift_ ? thrift_->connections() : 0) + (scgi_ ? scgi_->connections() : 0);
-    if (!draining_ || (thrift_ && thrift_->isListening()) || backend_.unansweredCount() > 0 || there > 0)
-        return;
+    const bool listening = (thrift_ && thrift_->isListening()) || (scgi_ && scgi_->isListening());
+    if (!draining_ || listening || backend_.unansweredCount() > 0 || there > 0) return;
     log_.info("leaving", "nobody is left");
     loop_.stop();
 }
--- a/tests/scgi_test.cpp
+++ b/tests/scgi_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cmath>
 #include <fstream>
+#include <thread>
 
 #include "decide/limit/limit.h"
 #include "decide/routes/routes.h"
@@ -299,6 +300,22 @@
     hall.expectBooksClosed();
 }
 
+// Guards against a request that is reset as its connection still waits at the listener when that closes.
+TEST(Gateway, AnScgiConnectionThatWaitsAtTheListenerIsAnsweredAtTheDrain) {
+    Hall hall({lab::ScgiServerTerms{}});
+    const Duration from = net::unixNow();
+    hall.gateway->leave();
+    while (net::unixNow() < from + 296ms) hall.loop.turnWithoutWaiting();
+    testing::RawClient client(hall.port());
+    client.send(scgi::writeRequest({{"REQUEST_METHOD", "GET"}, {"REQUEST_URI", "/list/all"}}, ""));
+    // The drain is due, and little late: its timer fires before the loop looks at the sockets.
+    std::this_thread::sleep_for(from + 302ms - net::unixNow());
+    runUntil(hall.loop, [&] { return client.over(); });
+    EXPECT_FALSE(client.reset);
+    EXPECT_TRUE(client.text.starts_with("Status: ")) << client.text;
+    hall.expectBooksClosed();
+}
+
 // Guards against a request that is read in the turn in which the process stops, and never answered.
 TEST(Gateway, AThriftRequestReadInTheLastTurnIsAnswered) {
     Hall hall({lab::ScgiServerTerms{}});
