--- a/src/server.cpp
+++ b/src/server.cpp
@@ -85,6 +85,7 @@
     requests_.processEvents();
     requests_.failUnanswered();
     thriftServer_.writeLast();
+    log_.info("shutdown", "time is over: open_connections=" + std::to_string(thriftServer_.connections()));
     loop_.stop();
 }
 
