--- /dev/null
+++ b/tests/soak/clients.h
@@ -0,0 +1,75 @@
+/// @file
+/// The clients of a soak run: they open connections before the shutdown and go on using them until the kill,
+/// with the habits that the plan draws.
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/client_connection.h"
+#include "soak/http_peers.h"
+#include "soak/plan.h"
+#include "soak/recorder.h"
+
+namespace cottonwing::soak {
+
+/// The request classes of every soak run, by index.
+enum RequestClassIndex { kRead, kReadWithCall, kOnceWithCall, kKeyed };
+
+class Clients {
+public:
+    Clients(const Plan& plan, const net::Address& server, Agenda& agenda, Chance& chance, Recorder& recorder);
+    ~Clients();
+
+    /// The server process has been started: connections are opened, and a health check is repeated.
+    void beginLife();
+    /// Requests are sent from now on, duplicates of the life before among them.
+    void startTraffic();
+    /// The server process has ended: what its connections still hold is read, and they are closed.
+    void endLife();
+    /// Reads, writes and sends what is due; called every millisecond.
+    void tick(Duration now);
+    const net::Address& server() const { return server_; }
+    /// Whether a health check has been answered well in this life.
+    bool sawReady() const { return ready_; }
+
+private:
+    struct Client;
+    struct Outgoing;
+
+    void openMissing(Client& client, Duration now);
+    void serve(Client& client, ClientConnection& connection, Duration now);
+    void serveIdle(Duration now);
+    void checkHealth(Duration now);
+    void pauseSlowReader(Client& client, Duration now);
+    void sendNext(Duration now);
+    Outgoing drawRequest(Duration now);
+    void send(Outgoing request);
+    ClientConnection* pickConnection(Client*& client);
+    void writeInPieces(ClientConnection& connection, const std::string& frame, Duration now,
+                       std::function<void()> onWritten);
+    void written(Client& client, ClientConnection& connection, std::int32_t sequence, const std::string& id);
+    ClientConnection* findWaiting(Client& client, std::int32_t sequence, const std::string& id);
+    void received(Client& client, ClientConnection& connection, const testing::frames::Read& message);
+    void answered(Attempt& attempt, const testing::frames::Read& message);
+    void retry(const Attempt& attempt, Duration after);
+    void noteFate(ClientConnection& connection, ConnectionFate fate);
+
+    const Plan& plan_;
+    const net::Address server_;
+    Agenda& agenda_;
+    Chance& chance_;
+    Recorder& recorder_;
+    std::vector<std::unique_ptr<Client>> clients_;
+    std::vector<std::unique_ptr<ClientConnection>> idle_;
+    std::unique_ptr<ClientConnection> health_;
+    std::deque<std::string> keyedAttempts_;  ///< the last ones, for duplicates in the next life
+    std::uint64_t lastId_;
+    std::uint64_t lifeCount_ = 0;
+    bool living_ = false, sending_ = false, ready_ = false;
+    Duration nextArrival_{0}, nextIdleLook_{0}, nextHealthCheck_{0};
+};
+
+}  // namespace cottonwing::soak
--- /dev/null
+++ b/tests/soak/restart_soak_test.cpp
@@ -0,0 +1,97 @@
+/// @file
+/// The soak of restarts: the real program between its peers, started, signalled and killed as plans drawn
+/// from seeds have it, judged from outside.
+///
+/// COTTONWING_SOAK_SEEDS chooses the seeds, as `1-50` (default 1-12); GoogleTest's sharding runs them side by
+/// side. With COTTONWING_SOAK_KEEP set, configurations and logs are kept in the folder of temporary files.
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include "soak/rules.h"
+#include "soak/soak_run.h"
+
+namespace cottonwing::soak {
+namespace {
+
+std::pair<std::uint64_t, std::uint64_t> seedRange() {
+    constexpr std::pair<std::uint64_t, std::uint64_t> kShort = {1, 12};
+    const char* const text = std::getenv("COTTONWING_SOAK_SEEDS");
+    std::pair<std::uint64_t, std::uint64_t> range = kShort;
+    if (text == nullptr) return range;
+    char* rest = nullptr;
+    range.first = range.second = std::strtoull(text, &rest, 10);
+    if (*rest == '-') range.second = std::strtoull(rest + 1, nullptr, 10);
+    return range;
+}
+
+// The observer holds a crowd of connections itself.
+void raiseDescriptorLimit() {
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+void printCounts(const Plan& plan, const SoakRun& run) {
+    const Observations& seen = run.recorder().seen;
+    std::size_t kills = 0, written = 0;
+    Duration slowestStart{0};
+    for (const Life& life : seen.lives) {
+        kills += life.killedOutright ? 1 : 0;
+        if (life.readyAt && life.poolUpAt)
+            slowestStart = std::max(slowestStart, *life.readyAt - std::max(life.startedAt, *life.poolUpAt));
+    }
+    for (const Attempt& attempt : seen.attempts) written += attempt.writtenAt ? 1 : 0;
+    std::cout << "soak seed=" << plan.seed << " requests=" << written << " runs=" << seen.runs.size()
+              << " restarts=" << seen.lives.size() - 1 << " signals=" << run.signalsSent()
+              << " kills=" << kills << " crowd=" << (plan.crowd ? 1 : 0)
+              << " slowest_start_ms=" << slowestStart / std::chrono::milliseconds(1) << std::endl;
+}
+
+void report(const Plan& plan, const SoakRun& run, const std::vector<Violation>& violations) {
+    constexpr std::size_t kMostReported = 3;
+    ADD_FAILURE() << violations.size() << " violations; " << plan.describe()
+                  << "\nrun again: COTTONWING_SOAK_SEEDS=" << plan.seed
+                  << " cottonwing_soak_tests --gtest_filter='*RestartSoak*'";
+    for (std::size_t at = 0; at < std::min(kMostReported, violations.size()); ++at) {
+        const Violation& violation = violations[at];
+        std::cout << "VIOLATION " << nameOf(violation.rule) << ": " << violation.what
+                  << (violation.attempt.empty() ? "" : " (request " + violation.attempt + ")") << "\n"
+                  << run.recorder().timeLineOf(violation.attempt);
+    }
+    for (std::size_t life = 0; life < run.recorder().seen.lives.size(); ++life)
+        std::cout << "log of life " << life << ":\n" << run.logOf(life);
+}
+
+class RestartSoak : public ::testing::TestWithParam<std::uint64_t> {};
+
+// Guards against a request that is lost, run twice or run late around restarts, drains and kills.
+TEST_P(RestartSoak, KeepsTheRules) {
+    raiseDescriptorLimit();
+    const Plan plan = drawPlan(GetParam());
+    const std::string folder = ::testing::TempDir() + "cottonwing-soak-" + std::to_string(getpid()) + "-" +
+                               std::to_string(plan.seed);
+    std::filesystem::create_directories(folder);
+    SoakRun run(plan, COTTONWING, folder);
+    run.play();
+    printCounts(plan, run);
+    const std::vector<Violation> violations = judge(run.recorder().seen);
+    if (!violations.empty()) report(plan, run, violations);
+    if (std::getenv("COTTONWING_SOAK_KEEP") == nullptr) std::filesystem::remove_all(folder);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, RestartSoak, ::testing::Range(seedRange().first, seedRange().second + 1),
+                         [](const auto& info) { return std::to_string(info.param); });
+
+TEST(SoakPlan, TheSameSeedDrawsTheSamePlan) {
+    EXPECT_EQ(drawPlan(5).describe(), drawPlan(5).describe());
+    EXPECT_NE(drawPlan(5).describe(), drawPlan(8).describe());
+}
+
+}  // namespace
+}  // namespace cottonwing::soak
--- /dev/null
+++ b/tests/soak/worker_pool_process.cpp
@@ -0,0 +1,293 @@
+#include "soak/worker_pool_process.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+#include "net/clock.h"
+#include "worker_pool/protocol.h"
+
+namespace cottonwing::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kNoticesKept = 4000;  // PROTOCOL.md, "The worker pool"
+constexpr Duration kBookedAfter = 100ms;    // PROTOCOL.md: a request counts 0.1 s after it was written
+constexpr Duration kLookInterval = 10ms;    // at what is booked and what runs
+constexpr Duration kBetweenPieces = 3ms;
+constexpr int kPiecesOneIn = 6, kTwiceOneIn = 12;  // of the notices
+
+lab::CoreTerms coreTerms(const WorkerPoolSettings& settings) {
+    lab::CoreTerms terms;
+    terms.cores = settings.cores;
+    return terms;
+}
+
+}  // namespace
+
+std::string requestBody(Duration work, int calls, std::uint64_t unique) {
+    char text[80];
+    std::snprintf(text, sizeof text, "work_us=%lld calls=%d unique=%016llx",
+                  static_cast<long long>(work / 1us), calls, static_cast<unsigned long long>(unique));
+    return text;
+}
+
+WorkerPoolProcess::WorkerPoolProcess(net::Loop& loop, const WorkerPoolSettings& settings, Chance& chance,
+                                     Recorder& recorder)
+    : settings_(settings),
+      chance_(chance),
+      recorder_(recorder),
+      cores_(coreTerms(settings)),
+      first_(listen(loop)),
+      second_(listen(loop)) {
+    cores_.start(net::unixNow());
+}
+
+std::unique_ptr<testing::FakeServer> WorkerPoolProcess::listen(net::Loop& loop) {
+    return std::make_unique<testing::FakeServer>(
+        loop, [this](net::Connection& from, std::string& text) { hear(from, text); });
+}
+
+void WorkerPoolProcess::serverStarted() {
+    server_ = nullptr;
+    first_->hangUp();
+    second_->hangUp();
+    notices_.clear();
+    lastNotice_ = 0;
+    pieceLeft_.clear();
+    waitsForBound_.reset();
+}
+
+void WorkerPoolProcess::restart(bool cold, Duration upAfter) {
+    const Duration now = net::unixNow();
+    jobs_.clear();
+    onCores_.clear();
+    cold_ = cold;
+    startedAt_ = upAt_ = now + upAfter;
+    cores_.start(upAt_);
+}
+
+void WorkerPoolProcess::breakConnection() {
+    recorder_.note("pool", "closes its connection");
+    server_ = nullptr;
+    pieceLeft_.clear();
+    first_->hangUp();
+    second_->hangUp();
+}
+
+bool WorkerPoolProcess::isBlocked(const std::string& id) const {
+    return std::any_of(jobs_.begin(), jobs_.end(),
+                       [&](const auto& job) { return job.second.id == id && job.second.blocked; });
+}
+
+int WorkerPoolProcess::segmentOf(const std::string& id) const {
+    for (const auto& [number, job] : jobs_)
+        if (job.id == id && job.life == recorder_.lifeNumber()) return job.segment;
+    return 0;
+}
+
+std::map<std::uint64_t, WorkerPoolProcess::Job>::iterator WorkerPoolProcess::findJob(const std::string& id) {
+    return std::find_if(jobs_.begin(), jobs_.end(), [&](const auto& job) {
+        return job.second.id == id && job.second.life == recorder_.lifeNumber();
+    });
+}
+
+void WorkerPoolProcess::hear(net::Connection& from, std::string& text) {
+    std::size_t end = 0;
+    while ((end = text.find('\n')) != text.npos) {
+        const Json message = Json::parse(text.substr(0, end), nullptr, false);
+        text.erase(0, end + 1);
+        if (message.is_object()) handle(from, message);
+    }
+}
+
+void WorkerPoolProcess::handle(net::Connection& from, const Json& message) {
+    const std::string type = message.value("type", ""), id = message.value("job", "");
+    if (type == "bind") return bind(from, message.value("n", std::uint64_t{0}));
+    if (type == "spawn") return start(message);
+    if (type == "suspend") return suspend(id);
+    if (type == "supply" || type == "pass") return goOn(id);
+    if (type == "poll")
+        return send(Json{{"type", "polled"},
+                         {"ref", message["ref"]},
+                         {"gauges", {cores_.busy(), cores_.running(), 0.3, 5}}}
+                        .dump() +
+                    "\n");
+    if (type == "verify")
+        return send(Json{{"type", "verified"}, {"ref", message["ref"]}, {"state", "ok"}}.dump() + "\n");
+}
+
+void WorkerPoolProcess::bind(net::Connection& from, std::uint64_t after) {
+    server_ = first_->numberOf(from) != 0 ? first_.get() : second_.get();
+    connectionNumber_ = server_->numberOf(from);
+    pieceLeft_.clear();
+    waitsForBound_ = after;
+    if (net::unixNow() >= upAt_) sendBound();
+}
+
+void WorkerPoolProcess::sendBound() {
+    const std::uint64_t after = *std::exchange(waitsForBound_, std::nullopt);
+    const Duration now = net::unixNow();
+    if (!recorder_.life().poolUpAt) recorder_.life().poolUpAt = now;
+    recorder_.note("pool", "bound after notice " + std::to_string(after));
+    send(Json{{"type", "bound"},
+              {"state", cold_ ? "cold" : "warm"},
+              {"took", cold_ ? (now - startedAt_) / 1ms : 60000}}
+             .dump() +
+         "\n");
+    for (const auto& [number, line] : notices_)
+        if (number > after) send(line);
+}
+
+void WorkerPoolProcess::start(const Json& message) {
+    const std::string id = message.value("job", ""), requestClass = message.value("kind", "");
+    const std::string body = worker_pool::decode64(message.value("data", "")).value_or("");
+    const Attempt* const attempt = recorder_.find(id);
+    long long work = 0;
+    int calls = 0;
+    if (attempt == nullptr || attempt->life != recorder_.lifeNumber() ||
+        std::sscanf(body.c_str(), "work_us=%lld calls=%d", &work, &calls) != 2)
+        return send(Json{{"type", "unknown"}, {"state", "spawn"}, {"job", id}}.dump() + "\n");
+    if (findJob(id) != jobs_.end()) return;  // it runs already
+    if (recorder_.isOver(id)) {
+        recorder_.note("pool", "asked to start what is over: void", id);
+        return notice({{"type", "finished"}, {"job", id}, {"state", "void"}, {"took", 0}, {"data", ""}});
+    }
+    const Duration now = net::unixNow();
+    recorder_.note("pool", "starts the run", id);
+    const std::uint64_t number = nextJob_++;
+    Job& job = jobs_[number];
+    job.id = id;
+    job.life = recorder_.lifeNumber();
+    job.run = recorder_.seen.runs.size();
+    job.callsLeft = calls;
+    job.segmentWork = static_cast<double>(work) / 1e6 / (calls + 1);
+    job.memoryKb = attempt->memoryKb;
+    recorder_.seen.runs.push_back({id, job.life, requestClass, body, now, std::nullopt});
+    cores_.add(number, job.segmentWork, now);
+}
+
+// A run whose request is over is stopped; another goes on, as this program has no use for a paused run.
+void WorkerPoolProcess::suspend(const std::string& id) {
+    const auto found = findJob(id);
+    if (found == jobs_.end() || !recorder_.isOver(id)) return;
+    cores_.remove(found->first, net::unixNow());
+    finish(found->first, "halted", "");
+}
+
+void WorkerPoolProcess::goOn(const std::string& id) {
+    const auto found = findJob(id);
+    if (found == jobs_.end() || !std::exchange(found->second.blocked, false)) return;
+    ++found->second.segment;
+    cores_.add(found->first, found->second.segmentWork, net::unixNow());
+}
+
+void WorkerPoolProcess::segmentEnded(std::uint64_t number) {
+    const auto found = jobs_.find(number);
+    if (found == jobs_.end()) return;
+    Job& job = found->second;
+    if (job.life != recorder_.lifeNumber()) return void(jobs_.erase(found));  // of a server that is gone
+    if (job.callsLeft == 0) {
+        const std::string result = "result of " + job.id + " run " + std::to_string(job.run);
+        recorder_.seen.runs[job.run].result = result;
+        return finish(number, "ok", result);
+    }
+    --job.callsLeft;
+    job.blocked = true;
+    recorder_.note("pool", "the run waits for its call", job.id);
+    notice({{"type", "blocked"}, {"job", job.id}, {"data", worker_pool::encode64("call of " + job.id)}});
+}
+
+void WorkerPoolProcess::finish(std::uint64_t number, const std::string& state, const std::string& result) {
+    const std::string id = jobs_.at(number).id;
+    jobs_.erase(number);
+    recorder_.note("pool", "the run has ended: " + state, id);
+    notice({{"type", "finished"},
+            {"job", id},
+            {"state", state},
+            {"took", 5},
+            {"data", worker_pool::encode64(result)}});
+}
+
+void WorkerPoolProcess::notice(Json message) {
+    message["n"] = ++lastNotice_;
+    const std::string line = message.dump() + "\n";
+    notices_.emplace_back(lastNotice_, line);
+    if (notices_.size() > kNoticesKept) notices_.pop_front();
+    if (waitsForBound_) return;
+    if (settings_.sendsPieces && pieceLeft_.empty() && chance_.oneIn(kPiecesOneIn)) {
+        send(line.substr(0, line.size() / 2));
+        pieceLeft_ = line.substr(line.size() / 2);
+        pieceDue_ = net::unixNow() + kBetweenPieces;
+        return;
+    }
+    send(line);
+    if (settings_.sendsPieces && chance_.oneIn(kTwiceOneIn)) send(line);
+}
+
+void WorkerPoolProcess::send(const std::string& line) {
+    if (server_ == nullptr) return;
+    net::Connection* const connection = server_->find(connectionNumber_);
+    if (connection != nullptr) connection->send(std::exchange(pieceLeft_, "") + line);
+}
+
+void WorkerPoolProcess::tick(Duration now) {
+    if (now < upAt_) return;
+    if (waitsForBound_) sendBound();
+    for (const std::uint64_t number : cores_.ended(now)) segmentEnded(number);
+    if (!pieceLeft_.empty() && now >= pieceDue_) send("");
+    if (now < nextLook_) return;
+    nextLook_ = now + kLookInterval;
+    endRunsAtCallsOfRequestsThatAreOver();
+    observe(now);
+}
+
+void WorkerPoolProcess::endRunsAtCallsOfRequestsThatAreOver() {
+    std::vector<std::uint64_t> over;
+    for (const auto& [number, job] : jobs_)
+        if (job.blocked && recorder_.isOver(job.id)) over.push_back(number);
+    for (const std::uint64_t number : over) finish(number, "halted", "");
+}
+
+void WorkerPoolProcess::observe(Duration now) {
+    Life& life = recorder_.life();
+    life.mostBookedKb = std::max(life.mostBookedKb, bookedKb(now));
+    onCores_.emplace_back(now, static_cast<double>(cores_.running()));
+    while (onCores_.front().first < now - settings_.overloadWindow) onCores_.pop_front();
+    if (now - upAt_ < settings_.overloadWindow) return;
+    double sum = 0;
+    for (const auto& [at, running] : onCores_) sum += running;
+    // WIRE, rule 4: cores times 1 + (fall multiple - 1) times the present share of speed.
+    const double warmed = settings_.warmUpTime > 0ns ? (now - startedAt_) / (1.0 * settings_.warmUpTime) : 1;
+    const double speed =
+        cold_ ? std::min(1.0, settings_.coldFraction + (1 - settings_.coldFraction) * warmed) : 1.0;
+    const double borne = settings_.cores * (1 + (settings_.overloadFactor - 1) * speed);
+    life.mostRunsOnCores = std::max(life.mostRunsOnCores, sum / static_cast<double>(onCores_.size()) / borne);
+}
+
+double WorkerPoolProcess::bookedKb(Duration now) const {
+    double sum = 0;
+    std::map<std::string, bool> runs;
+    for (const auto& [number, job] : jobs_) {
+        if (job.life != recorder_.lifeNumber()) continue;
+        sum += job.memoryKb * settings_.runMemoryFactor;
+        runs[job.id] = true;
+    }
+    // Those written lately suffice: no request of the soak waits longer than a few seconds.
+    const auto& attempts = recorder_.seen.attempts;
+    const std::size_t from = attempts.size() > 4096 ? attempts.size() - 4096 : 0;
+    for (std::size_t place = from; place < attempts.size(); ++place) {
+        const Attempt& attempt = attempts[place];
+        const bool waits = attempt.writtenAt && now - *attempt.writtenAt > kBookedAfter &&
+                           attempt.responses.empty() && !attempt.cancelledAt &&
+                           attempt.connection == ConnectionFate::Open;
+        if (waits && attempt.life == recorder_.lifeNumber() && !runs.contains(attempt.id))
+            sum += attempt.memoryKb;
+    }
+    return sum;
+}
+
+}  // namespace cottonwing::soak
--- /dev/null
+++ b/tests/soak/worker_pool_process.h
@@ -0,0 +1,101 @@
+/// @file
+/// The worker pool's process in a soak run: it outlives the server or restarts with it, shares its cores
+/// among its runs, and numbers its notices afresh for each start of the server.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/emulate/cores.h"
+#include "soak/plan.h"
+#include "soak/recorder.h"
+#include "support/fake_server.h"
+
+namespace cottonwing::soak {
+
+/// What a soak's worker pool is like.
+struct WorkerPoolSettings {
+    int cores = 2;
+    double overloadFactor = 8;  ///< mean runs a core that it bears
+    Duration overloadWindow{0};
+    double runMemoryFactor = 4;
+    double coldFraction = 0.3;  ///< of its speed, right after a cold start
+    Duration warmUpTime{0};
+    bool sendsPieces = false;  ///< some notices in two pieces, some twice
+};
+
+/// The body of a request of the soak: the work of its run and how many calls it makes.
+std::string requestBody(Duration work, int calls, std::uint64_t unique);
+
+class WorkerPoolProcess {
+public:
+    WorkerPoolProcess(net::Loop& loop, const WorkerPoolSettings& settings, Chance& chance,
+                      Recorder& recorder);
+
+    /// The two addresses that it listens on.
+    net::Address address(bool other) const { return (other ? second_ : first_)->address(); }
+    /// A new life of the server has begun: notices are numbered afresh.
+    void serverStarted();
+    /// The process has started anew; it is up after a while, and empty.
+    void restart(bool cold, Duration upAfter);
+    /// Looks at runs that have ended; called every millisecond.
+    void tick(Duration now);
+    void breakConnection();
+    bool isBlocked(const std::string& id) const;
+    int segmentOf(const std::string& id) const;
+
+private:
+    struct Job {
+        std::string id;
+        std::size_t life = 0;
+        std::size_t run = 0;  ///< its place among the observed runs
+        double segmentWork = 0;
+        int callsLeft = 0, segment = 0;
+        bool blocked = false;
+        double memoryKb = 0;
+    };
+    using Json = nlohmann::json;
+
+    std::unique_ptr<testing::FakeServer> listen(net::Loop& loop);
+    void hear(net::Connection& from, std::string& text);
+    void handle(net::Connection& from, const Json& message);
+    void bind(net::Connection& from, std::uint64_t after);
+    void sendBound();
+    void start(const Json& message);
+    void suspend(const std::string& id);
+    void goOn(const std::string& id);
+    void segmentEnded(std::uint64_t number);
+    void finish(std::uint64_t number, const std::string& state, const std::string& result);
+    void notice(Json message);
+    void send(const std::string& line);
+    void endRunsAtCallsOfRequestsThatAreOver();
+    void observe(Duration now);
+    double bookedKb(Duration now) const;
+    std::map<std::uint64_t, Job>::iterator findJob(const std::string& id);
+
+    const WorkerPoolSettings settings_;
+    Chance& chance_;
+    Recorder& recorder_;
+    lab::Cores cores_;
+    std::unique_ptr<testing::FakeServer> first_, second_;
+    // The connection that sent `bind` last.
+    testing::FakeServer* server_ = nullptr;
+    int connectionNumber_ = 0;
+    std::optional<std::uint64_t> waitsForBound_;
+    std::string pieceLeft_;  ///< of a notice that is sent in two
+    Duration pieceDue_{0};
+    std::deque<std::pair<std::uint64_t, std::string>> notices_;
+    std::uint64_t lastNotice_ = 0, nextJob_ = 1;
+    std::map<std::uint64_t, Job> jobs_;
+    Duration upAt_{0}, startedAt_{0};
+    bool cold_ = false;
+    Duration nextLook_{0};
+    std::deque<std::pair<Duration, double>> onCores_;  ///< of the overload window
+};
+
+}  // namespace cottonwing::soak
--- a/tests/support/fake_server.h
+++ b/tests/support/fake_server.h
@@ -26,6 +26,7 @@
               [this, &loop](net::AcceptedSocket socket) {
                   ++accepted;
                   Line line;
+                  line.number = accepted;
                   line.connection = newConnection(loop, socket);
                   lines.push_back(std::move(line));
               },
@@ -38,8 +39,22 @@
         std::erase_if(lines, [&](const Line& line) { return line.connection.get() == &on; });
     }
 
+    /// @return the number of a connection, in the order of acceptance; 0 where it has ended.
+    int numberOf(const net::Connection& connection) const {
+        for (const Line& line : lines)
+            if (line.connection.get() == &connection) return line.number;
+        return 0;
+    }
+    /// @return the connection of this number, while it is open.
+    net::Connection* find(int number) const {
+        for (const Line& line : lines)
+            if (line.number == number) return line.connection.get();
+        return nullptr;
+    }
+
     /// A connection and what was read from it but not used.
     struct Line {
+        int number = 0;
         std::unique_ptr<net::Connection> connection;
         std::string text;
     };
