A soak run that cannot start its program fails instead of waiting for ever

Seen: two shards of the soak hung for minutes as the server's file was being linked anew at that moment. Cause: the exception of the start was caught by the loop's guard, which nobody listened to. It ends the run and fails the test now; tried with the program moved away: the test fails in 10 ms.

--- a/tests/soak/restart_soak_test.cpp
+++ b/tests/soak/restart_soak_test.cpp
@@ -79,6 +79,7 @@
     std::filesystem::create_directories(folder);
     SoakRun run(plan, COTTONWING, folder);
     run.play();
+    ASSERT_EQ(run.failure(), "");
     printCounts(plan, run);
     const std::vector<Violation> violations = judge(run.recorder().seen);
     if (!violations.empty()) report(plan, run, violations);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -103,6 +103,10 @@
 SoakRun::~SoakRun() = default;
 
 void SoakRun::play() {
+    loop_.onUncaughtException([this](const std::string& what) {
+        failure_ = what;
+        done_ = true;
+    });
     startLife();
     timer_.start(kTick);
     while (!done_) loop_.turnOnce();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -27,6 +27,8 @@
     /// Plays the plan to its end.
     void play();
     const Recorder& recorder() const { return recorder_; }
+    /// Why the run itself failed, such as a program that can't be started; empty where it was played.
+    const std::string& failure() const { return failure_; }
     /// Signals sent, for the report of counts.
     int signalsSent() const { return signalsSent_; }
     /// The log of one life of the server.
@@ -71,6 +73,7 @@
     bool otherAddresses_ = false, starting_ = false, done_ = false;
     std::optional<Duration> stoppedAt_;  ///< by SIGSTOP, and not going on yet
     int signalsSent_ = 0;
+    std::string failure_;
 };
 
 }  // namespace cottonwing::soak
