--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -47,8 +47,8 @@
 
     /// Takes no new connections, and asks the clients for no new requests on those there are.
     void drain();
-    /// Nothing more is read: a request that was read now could not be answered before the process ends. To its
-    /// client it crosses the end of the connection.
+    /// Nothing more is read: a request that was read now could not be answered before the process ends. To
+    /// its client it crosses the end of the connection.
     void stopReading();
     /// Writes what the system takes at once of the answers that wait.
     void writeLast();
