Review: the stand-ins tell refused connections from ended ones

Cause: a refused connection was counted as one that ended without an answer; seen in a probe of the drain, where nothing had run.

--- a/review/standins/loop.h
+++ b/review/standins/loop.h
@@ -174,14 +174,14 @@
             const short ready = fds[listenerCount + i].revents;
             if (each.gone || ready == 0) continue;
             if (each.connecting && (ready & (POLLOUT | POLLERR | POLLHUP)) != 0) {
-                each.connecting = false;
                 int error = 0;
                 socklen_t length = sizeof error;
                 getsockopt(each.fd, SOL_SOCKET, SO_ERROR, &error, &length);
-                if (error != 0) {
+                if (error != 0) {  // refused: it stays `connecting`, so that onEnd can tell
                     end(each);
                     continue;
                 }
+                each.connecting = false;
             }
             if ((ready & POLLOUT) != 0) each.write();
             if (!each.gone && (ready & (POLLIN | POLLHUP | POLLERR)) != 0) read(each);
