--- a/src/overload/call_scheduling.cpp
+++ b/src/overload/call_scheduling.cpp
@@ -1,20 +1,69 @@
 #include "overload/call_scheduling.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "overload/dependency_queue.h"
+#include "overload/units.h"
 
 namespace cottonwing::overload {
 
+namespace {
+
+// A run that possibly waits is presumed to wait when it has shown no progress for this multiple of the
+// expected duration of a whole run.
+constexpr double kPossibleWaitFactor = 3;
+
+}  // namespace
+
 void CallScheduling::waitForDependency(RequestId id) {
     RequestState* request = context_.requests.find(id);
-    if (request == nullptr || request->phase != RequestPhase::OnCores) return;
+    if (request == nullptr) return;
+    if (request->call.repeatsEndedCall || request->phase == RequestPhase::PossiblyWaiting) {
+        endRepeatedCall(*request, true);
+        continueRun(*request);
+    }
+    if (request->phase != RequestPhase::OnCores) return;
     context_.requests.waitForDependency(*request, context_.now);
 }
 
+void CallScheduling::resolvePossibleWait(RequestId id) {
+    RequestState* request = context_.requests.find(id);
+    if (request == nullptr || !request->answerPending()) return;
+    if (request->phase == RequestPhase::OnCores) context_.requests.presumeWaiting(*request, context_.now);
+    if (request->phase != RequestPhase::PossiblyWaiting) return;
+    if (isRepeatable(context_.classOf(*request).idempotency))
+        context_.requests.repeatEndedCall(*request, context_.now);
+    else
+        limitPossibleWait(*request);
+}
+
+void CallScheduling::limitPossibleWait(RequestState& request) {
+    const double runSeconds = context_.serviceTimes.expectedTotalSeconds(request.requestClass, request.work);
+    const Timestamp answerBy = context_.now + fromSeconds(kPossibleWaitFactor * runSeconds);
+    context_.requests.setAnswerBy(request, std::min(request.answerBy, answerBy));
+}
+
+void CallScheduling::endRepeatedCall(RequestState& request, bool mayStillRun) {
+    if (request.phase != RequestPhase::CallingDependency) return;
+    context_.dependency.limiter().callEnded(mayStillRun, context_.now);
+    closing_.endProbe(request);
+}
+
+void CallScheduling::continueRun(RequestState& request) {
+    context_.requests.resumeRun(request, context_.now);
+    if (request.answerPending())
+        context_.requests.setAnswerBy(request, context_.shutdown.answerBy(request.deadline));
+}
+
 void CallScheduling::completeCall(const Completion& completion) {
     RequestState* request = context_.requests.find(completion.id);
     if (request == nullptr || request->phase != RequestPhase::CallingDependency) return;
+    const bool repeated = request->call.repeatsEndedCall;
+    if (repeated && completion.outcome == Outcome::Superseded) {
+        endRepeatedCall(*request, false);
+        return continueRun(*request);
+    }
     context_.dependency.limiter().callEnded(mayStillRunAtDependency(completion.outcome), context_.now);
     closing_.endProbe(*request);
     EndedAttempt attempt;
@@ -26,8 +75,8 @@
         context_.dependency.recordOutcome(attempt, context_.now, context_.random);
     context_.logTransition(BreakerTarget::Dependency, transition);
     if (completion.outcome == Outcome::Ok) {
-        context_.requests.resumeRun(*request, context_.now);
-        return;
+        if (repeated) return continueRun(*request);
+        return context_.requests.resumeRun(*request, context_.now);
     }
     context_.requests.callFailed(*request);
     if (request->answerPending()) retryOrSkipCall(*request, completion.outcome);
@@ -47,6 +96,11 @@
 }
 
 void CallScheduling::skipCall(RequestState& request) {
+    if (request.call.repeatsEndedCall) {
+        context_.requests.withdrawRepeatedCall(request);
+        limitPossibleWait(request);
+        return;
+    }
     if (context_.classOf(request).degradedValueFraction <= 0) {
         closing_.rejectOrFail(request);
         return;
@@ -90,7 +144,9 @@
         return;
     }
     // A response after the latency objective has no value for this class, so no call is sent for it.
-    if (context_.now >= request.objectiveEnd && context_.classOf(request).lateValueFraction <= 0) {
+    const bool hasValue =
+        context_.now < request.objectiveEnd || context_.classOf(request).lateValueFraction > 0;
+    if (!hasValue && !request.call.repeatsEndedCall) {
         closing_.rejectOrFail(request);
         return;
     }
--- a/src/overload/overload_controller.cpp
+++ b/src/overload/overload_controller.cpp
@@ -68,6 +68,7 @@
 void Controller::recordEvents(const EventBatch& batch) {
     for (const Request& arrival : batch.arrivals) arrivals_.accept(arrival);
     for (const Completion& completion : batch.dependencyResults) calls_.completeCall(completion);
+    for (const RequestId id : batch.possiblyStillWaiting) calls_.resolvePossibleWait(id);
     for (const RequestId id : batch.waitingForDependency) calls_.waitForDependency(id);
     // Cancellations are processed before run results: a failed run can open the circuit breaker and reject
     // the whole queue, and a client that has cancelled must not be answered.
--- a/src/overload/request_state.h
+++ b/src/overload/request_state.h
@@ -9,9 +9,11 @@
 
 /// The processing stage of a request.
 enum class RequestPhase {
-    Queued,                ///< In the admission queue, or not yet admitted.
-    JoinedDuplicate,       ///< Waits for the result of an earlier attempt; never runs itself.
-    OnCores,               ///< Its run uses a core.
+    Queued,           ///< In the admission queue, or not yet admitted.
+    JoinedDuplicate,  ///< Waits for the result of an earlier attempt; never runs itself.
+    OnCores,          ///< Its run uses a core.
+    /// The run may still wait for a call that has ended, as the reply may be lost, or it may use a core.
+    PossiblyWaiting,
     WaitingForDependency,  ///< Its run needs a dependency call that is not sent yet, or is to be retried.
     CallingDependency      ///< Its dependency call is in flight.
 };
@@ -35,6 +37,9 @@
     Timestamp retryAt{0};
     AttemptTime attemptTime = AttemptTime::Full;
     CallPurpose purpose = CallPurpose::Regular;
+    /// The call has ended before. It is repeated only to learn whether the run still waits for it, so the run
+    /// does not depend on its outcome.
+    bool repeatsEndedCall = false;
 };
 
 struct RequestState {
--- a/src/overload/request_table.cpp
+++ b/src/overload/request_table.cpp
@@ -46,13 +46,38 @@
 }
 
 void RequestTable::waitForDependency(RequestState& request, Timestamp now) {
+    leaveCores(request, now);
+    ++request.call.callsWanted;
+    beginWaiting(request, now);
+}
+
+void RequestTable::presumeWaiting(RequestState& request, Timestamp now) {
+    leaveCores(request, now);
+    request.phase = RequestPhase::PossiblyWaiting;
+}
+
+void RequestTable::repeatEndedCall(RequestState& request, Timestamp now) {
+    request.call.repeatsEndedCall = true;
+    beginWaiting(request, now);
+}
+
+void RequestTable::withdrawRepeatedCall(RequestState& request) {
+    callQueue_.erase(request.deadline, request.id);
+    request.call.repeatsEndedCall = false;
+    request.phase = RequestPhase::PossiblyWaiting;
+}
+
+void RequestTable::leaveCores(RequestState& request, Timestamp now) {
     request.earlierCoreSeconds += toSeconds(now - request.phaseStart);
+    request.phaseStart = now;
+    --runsOnCores_;
+}
+
+void RequestTable::beginWaiting(RequestState& request, Timestamp now) {
     request.phase = RequestPhase::WaitingForDependency;
     request.phaseStart = now;
     request.call.retryAt = now;
     request.call.attempts = 0;
-    ++request.call.callsWanted;
-    --runsOnCores_;
     if (request.answerPending()) enterCallQueue(request);
 }
 
@@ -67,6 +92,7 @@
 
 void RequestTable::resumeRun(RequestState& request, Timestamp now) {
     callQueue_.erase(request.deadline, request.id);
+    request.call.repeatsEndedCall = false;
     request.phase = RequestPhase::OnCores;
     request.phaseStart = now;
     ++runsOnCores_;
--- a/src/overload/request_table.h
+++ b/src/overload/request_table.h
@@ -30,6 +30,12 @@
     void startRun(RequestState& request, Timestamp now);
     /// Takes the run off the cores and queues it for a dependency call, in the order of deadlines.
     void waitForDependency(RequestState& request, Timestamp now);
+    /// Takes the run off the cores, as it may still wait for a call that has ended.
+    void presumeWaiting(RequestState& request, Timestamp now);
+    /// Queues a run that possibly waits for a call that has ended, for a repetition of that call.
+    void repeatEndedCall(RequestState& request, Timestamp now);
+    /// Withdraws a call that was queued to be repeated: the run possibly waits for it.
+    void withdrawRepeatedCall(RequestState& request);
     void startCall(RequestState& request, Timestamp now);
     /// Makes the run wait again after a failed call, but does not queue it for another call.
     void callFailed(RequestState& request) { request.phase = RequestPhase::WaitingForDependency; }
@@ -53,6 +59,9 @@
     auto end() const { return requests_.end(); }
 
 private:
+    void leaveCores(RequestState& request, Timestamp now);
+    void beginWaiting(RequestState& request, Timestamp now);
+
     std::map<RequestId, RequestState> requests_;
     DeadlineQueue admissionQueue_;
     DeadlineQueue callQueue_;
--- a/src/overload/retry_policy.cpp
+++ b/src/overload/retry_policy.cpp
@@ -43,6 +43,8 @@
     return certainlyNeverRan(outcome);
 }
 
+bool isRepeatable(Idempotency idempotency) { return idempotency == Idempotency::Idempotent; }
+
 Duration retryBackoff(int attempts, Duration attemptTimeout, double random) {
     const double growth = std::pow(kBackoffMultiplier, attempts - 1);
     const double maxBackoffSeconds =
--- a/src/overload/retry_policy.h
+++ b/src/overload/retry_policy.h
@@ -35,6 +35,10 @@
 /// dependency reported, all others only when the call certainly never ran.
 bool isRetryable(Outcome outcome, Idempotency idempotency);
 
+/// Whether a call that has ended may be sent again to learn whether its run still waits for it: it may
+/// already have had its effect.
+bool isRepeatable(Idempotency idempotency);
+
 /// The backoff before the next attempt: exponential with full jitter, from 0 to
 /// min(attemptTimeout, attemptTimeout / 16 * 2^(attempts - 1)).
 /// @param attempts made so far, at least 1.
--- a/src/overload/types.h
+++ b/src/overload/types.h
@@ -162,6 +162,9 @@
     Timestamp now{0};
     std::vector<Request> arrivals;
     std::vector<Completion> dependencyResults;
+    /// Running requests whose dependency call has ended, but whose run may not have learned of it: it may
+    /// still wait for the call.
+    std::vector<RequestId> possiblyStillWaiting;
     std::vector<RequestId> waitingForDependency;  ///< Running requests that now want their dependency call.
     std::vector<Completion> runResults;
     std::vector<RequestId> clientCancellations;
--- a/src/request/executor.h
+++ b/src/request/executor.h
@@ -31,20 +31,31 @@
 
     /// Starts a run. Starting one that is in progress has no effect.
     /// @param run valid during the call only.
-    virtual void start(const RunSpec& run) = 0;
+    /// @return whether the message was sent; if not, nothing was started.
+    virtual bool start(const RunSpec& run) = 0;
 
     /// Cancels a run whose result no client waits for. The end of the run is still reported.
     /// @param externalId of the request.
     virtual void cancel(const std::string& externalId) = 0;
 
-    /// Lets a run that waits for its dependency call continue with the reply.
+    /// Lets a run that waits for its dependency call continue with the reply. Must be sent only while the run
+    /// certainly waits for this call: a run that has come to its next call takes it for the reply to that
+    /// one.
     /// @param externalId of the request.
     /// @param reply body of the dependency's reply; valid during the call only.
-    virtual void supplyReply(const std::string& externalId, std::string_view reply) = 0;
+    /// @return whether the message was sent; if not, the run has certainly not received it.
+    virtual bool supplyReply(const std::string& externalId, std::string_view reply) = 0;
 
-    /// Lets a run that waits for its dependency call continue without it (degraded response).
+    /// Lets a run that waits for its dependency call continue without it (degraded response). Subject to the
+    /// same condition as supplyReply.
     /// @param externalId of the request.
-    virtual void skipDependencyCall(const std::string& externalId) = 0;
+    /// @return whether the message was sent; if not, the run has certainly not received it.
+    virtual bool skipDependencyCall(const std::string& externalId) = 0;
+
+    /// Requests confirmation that all reports that the executor has made so far have been delivered. It is
+    /// delivered through RequestManager::reportsDelivered; it is lost with the connection.
+    /// @param id is passed on with the confirmation.
+    virtual void confirmReports(RequestId id) = 0;
 
     /// Requests current gauges, which are delivered through RequestManager::updateGauges.
     virtual void requestGauges() = 0;
--- a/src/request/request_id.h
+++ b/src/request/request_id.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "overload/types.h"
@@ -14,4 +15,7 @@
 /// @return the id; nullopt if the text has another form.
 std::optional<RequestId> parseRequestId(std::string_view text);
 
+/// @return the id in its wire form, which parseRequestId accepts.
+std::string formatRequestId(RequestId id);
+
 }  // namespace cottonwing::request
--- a/src/request/request_manager.cpp
+++ b/src/request/request_manager.cpp
@@ -15,8 +15,6 @@
 
 // Gauges older than this are omitted from a batch instead of being reported as current.
 constexpr Duration kGaugesMaxAge = 100ms;
-// Messages sent within this time before a connection was lost may not have arrived.
-constexpr Duration kLossWindow = 1s;
 // Time from the answer to a request, or its cancellation, until its unconfirmed start is checked, and between
 // such checks. After this time the executor no longer runs the request: when it is asked to start it, it
 // reports that nothing ran.
@@ -158,6 +156,8 @@
 void RequestManager::runWaitsForDependency(RequestId id, std::string callBody) {
     const auto entry = findRunning(id);
     if (entry == table_.end()) return;
+    // The run has received the reply, so a repetition of the call that may be in progress is not needed.
+    if (entry->second.isContinuationUnconfirmed()) abandonDependencyCall(entry);
     entry->second.dependencyCallBody = std::move(callBody);
     entry->second.continuation.reset();
     batch_.waitingForDependency.push_back(id);
@@ -195,14 +195,33 @@
     gaugesUpdatedAt_ = net::unixNow();
 }
 
-void RequestManager::resumeRuns(Timestamp lostAt) {
+void RequestManager::executorConnectionLost() {
+    for (auto& [id, request] : table_)
+        if (request.isRunInProgress()) markUnconfirmed(request);
+}
+
+void RequestManager::markUnconfirmed(TrackedRequest& request) {
+    if (request.run == RunState::Running && !mayRunTwice(request) && mayBeLost(request.runStartedAt)) {
+        request.run = RunState::StartUnconfirmed;
+        ++unconfirmedStartCount_;
+    }
+    std::optional<RunContinuation>& last = request.continuation;
+    if (!last || last->delivery != Delivery::Sent || !mayBeLost(last->sentAt)) return;
+    last->delivery = Delivery::Unconfirmed;
+    counters_.add(Count::ContinuationsUnconfirmed);
+}
+
+// Also restarts runs whose clients no longer wait: a request is removed from the table only when the executor
+// reports the end of its run, even if nothing ran. A request that may run only once is not restarted, because
+// its run may have ended in the meantime; checkUnconfirmedStarts() handles it once no answer is due.
+void RequestManager::resumeRuns() {
     for (auto& [id, request] : table_) {
         if (!request.isRunInProgress()) continue;
-        restartOrMarkUnconfirmed(request, lostAt);
+        if (request.run == RunState::StartNotSent || mayRunTwice(request)) sendStart(request);
         if (!request.isClientWaiting() && config_.runCancellation != RunCancellation::Unsupported)
             executor_->cancel(request.externalId);
         else
-            resendContinuation(request, lostAt);
+            resumeContinuation(id, request);
     }
 }
 
@@ -210,26 +229,43 @@
     return classOf(request.requestClass).idempotency == Idempotency::Idempotent;
 }
 
-// Also restarts runs whose clients no longer wait: a request is removed from the table only when the executor
-// reports the end of its run, even if nothing ran. A request that may run only once is not restarted, because
-// its run may have ended in the meantime; checkUnconfirmedStarts() handles it once no answer is due.
-void RequestManager::restartOrMarkUnconfirmed(TrackedRequest& request, Timestamp lostAt) {
-    if (mayRunTwice(request)) return executor_->start(request.runSpec());
-    const bool startMayBeLost = request.runStartedAt > lostAt - kLossWindow;
-    if (request.run == RunState::StartUnconfirmed || !startMayBeLost) return;
-    request.run = RunState::StartUnconfirmed;
-    ++unconfirmedStartCount_;
-}
-
-// A continuation sent before the loss window has arrived; if it were resent, it might be taken for the reply
-// to the run's next dependency call.
-void RequestManager::resendContinuation(const TrackedRequest& request, Timestamp lostAt) {
-    const std::optional<RunContinuation>& last = request.continuation;
-    if (!last || last->sentAt <= lostAt - kLossWindow) return;
-    if (last->reply)
-        executor_->supplyReply(request.externalId, *last->reply);
-    else
-        executor_->skipDependencyCall(request.externalId);
+// A continuation that was sent is never sent again unless the run is proven to wait for it: a run that has
+// received it may come to its next call at any moment, before its report of that is read here, and would take
+// the repetition for the reply to that call. The proof is the dependency's: it carries out a call only while
+// the run waits for it. Where the class does not allow the call to be made twice, the run is left alone: if
+// it has received its continuation, it goes on, and otherwise the controller fails the request.
+void RequestManager::resumeContinuation(RequestId id, TrackedRequest& request) {
+    if (!request.continuation) return;
+    switch (request.continuation->delivery) {
+        case Delivery::NotSent:
+            return sendContinuation(request);
+        case Delivery::Sent:
+            return;
+        case Delivery::AwaitingReports:
+            return executor_->confirmReports(id);
+        case Delivery::Unconfirmed:
+            break;
+    }
+    if (!request.isClientWaiting() || request.isDependencyCallInProgress()) return;
+    batch_.possiblyStillWaiting.push_back(id);
+    hasEvents_ = true;
+}
+
+void RequestManager::reportsDelivered(RequestId id) {
+    const auto entry = findRunningAndWaiting(id);
+    if (entry == table_.end()) return;
+    const std::optional<RunContinuation>& last = entry->second.continuation;
+    if (!last || last->delivery != Delivery::AwaitingReports) return;
+    counters_.add(Count::ContinuationsResent);
+    sendContinuation(entry->second);
+}
+
+// The state is set first, as the end of the run may be reported from within start, and the request removed.
+void RequestManager::sendStart(TrackedRequest& request) {
+    request.run = RunState::Running;
+    request.runStartedAt = net::unixNow();
+    const bool sent = executor_->start(request.runSpec());
+    if (!sent) request.run = RunState::StartNotSent;
 }
 
 // Without this check, a request whose start was lost would stay in the table forever. Starting it again once
@@ -253,16 +289,36 @@
     if (entry == table_.end() || !entry->second.isDependencyCallInProgress()) return;
     TrackedRequest& request = entry->second;
     request.dependencyCall = CallProgress::NotInProgress;
-    // No run waits for the call: the end of the run is about to be reported and determines the outcome.
-    if (outcome == Outcome::Superseded) return;
-    if (outcome == Outcome::Ok) {
-        request.continuation = RunContinuation{std::string(reply), net::unixNow()};
-        executor_->supplyReply(request.externalId, reply);
+    if (outcome == Outcome::Superseded) {
+        // No run waits for the call. Either the run has ended, which is about to be reported, or the call was
+        // repeated and the run has received the reply to it before.
+        if (!request.isContinuationUnconfirmed()) return;
+        request.continuation.reset();
     }
+    if (outcome == Outcome::Ok) handleReply(request, id, reply);
     batch_.dependencyResults.push_back({id, outcome, elapsed});
     hasEvents_ = true;
 }
 
+void RequestManager::handleReply(TrackedRequest& request, RequestId id, std::string_view reply) {
+    if (!request.isContinuationUnconfirmed()) return continueRun(request, std::string(reply));
+    request.continuation = RunContinuation{std::string(reply), Delivery::AwaitingReports, {}};
+    executor_->confirmReports(id);
+}
+
+void RequestManager::continueRun(TrackedRequest& request, std::optional<std::string> reply) {
+    request.continuation = RunContinuation{std::move(reply), Delivery::NotSent, {}};
+    sendContinuation(request);
+}
+
+void RequestManager::sendContinuation(TrackedRequest& request) {
+    RunContinuation& continuation = *request.continuation;
+    const bool sent = continuation.reply ? executor_->supplyReply(request.externalId, *continuation.reply)
+                                         : executor_->skipDependencyCall(request.externalId);
+    continuation.delivery = sent ? Delivery::Sent : Delivery::NotSent;
+    continuation.sentAt = net::unixNow();
+}
+
 // ---- Control --------------------------------------------------------------------------------------------
 
 void RequestManager::beginShutdown(Timestamp stopAt) {
@@ -320,10 +376,8 @@
 void RequestManager::carryOut(const StartRun& decision) {
     const auto entry = table_.find(decision.id);
     if (entry == table_.end() || entry->second.isRunInProgress()) return;
-    entry->second.run = RunState::Running;
-    entry->second.runStartedAt = net::unixNow();
     counters_.add(Count::RunsStarted);
-    executor_->start(entry->second.runSpec());
+    sendStart(entry->second);
 }
 
 void RequestManager::carryOut(const RejectRequest& decision) {
@@ -361,8 +415,7 @@
 void RequestManager::carryOut(const SkipDependencyCall& decision) {
     const auto entry = findRunningAndWaiting(decision.id);
     if (entry == table_.end()) return;
-    entry->second.continuation = RunContinuation{std::nullopt, net::unixNow()};
-    executor_->skipDependencyCall(entry->second.externalId);
+    continueRun(entry->second, std::nullopt);
 }
 
 void RequestManager::carryOut(const JoinDuplicate& decision) {
--- a/src/request/request_manager.h
+++ b/src/request/request_manager.h
@@ -88,10 +88,15 @@
     void runUnknownToExecutor(RequestId id);
     /// Stores the gauges requested by Executor::requestGauges until the next control tick.
     void updateGauges(const Gauges& gauges);
+    /// The executor has received every message that was sent to it up to this time.
+    void messagesReceived(Timestamp sentUntil) { messagesReceivedUntil_ = sentUntil; }
+    /// The connection to the executor was lost, and with it possibly the messages that were sent last.
+    void executorConnectionLost();
     /// Synchronizes the runs in progress with the executor after its connection was lost and reopened. Must
     /// be called after the reports that were missed in the meantime have been processed.
-    /// @param lostAt when the connection was lost.
-    void resumeRuns(Timestamp lostAt);
+    void resumeRuns();
+    /// All reports that the executor had made by the time of Executor::confirmReports have been delivered.
+    void reportsDelivered(RequestId id);
 
     // ---- Events from the dependency client.
 
@@ -158,6 +163,13 @@
     Table::iterator findRunning(RequestId id);
     Table::iterator findRunningAndWaiting(RequestId id);
 
+    // Start and continuation of runs.
+    void sendStart(TrackedRequest& request);
+    void sendContinuation(TrackedRequest& request);
+    void continueRun(TrackedRequest& request, std::optional<std::string> reply);
+    void handleReply(TrackedRequest& request, RequestId id, std::string_view reply);
+    bool mayBeLost(Timestamp sentAt) const { return sentAt > messagesReceivedUntil_; }
+
     // Answers and removal.
     void answerCompleted(Table::iterator entry, std::string_view result);
     void answerRejected(Table::iterator entry, const Pushback& pushback);
@@ -176,8 +188,8 @@
 
     // Recovery of runs after the executor's connection was lost.
     bool mayRunTwice(const TrackedRequest& request) const;
-    void restartOrMarkUnconfirmed(TrackedRequest& request, Timestamp lostAt);
-    void resendContinuation(const TrackedRequest& request, Timestamp lostAt);
+    void markUnconfirmed(TrackedRequest& request);
+    void resumeContinuation(RequestId id, TrackedRequest& request);
     void checkUnconfirmedStarts(Timestamp now);
 
     void controlTick();
@@ -200,6 +212,7 @@
     Timestamp nextTickAt_{0};
     Gauges gauges_;
     Timestamp gaugesUpdatedAt_{0};
+    Timestamp messagesReceivedUntil_{0};  // the executor has received what was sent to it up to this time
     bool healthy_ = false;
     bool runSucceededSinceCheck_ = false;
     std::optional<double> advertisedLoadShare_;
--- a/src/request/request_state.cpp
+++ b/src/request/request_state.cpp
@@ -2,9 +2,7 @@
 
 namespace cottonwing::request {
 
-bool TrackedRequest::isRunInProgress() const {
-    return run == RunState::Running || run == RunState::StartUnconfirmed;
-}
+bool TrackedRequest::isRunInProgress() const { return run != RunState::NotStarted && run != RunState::Ended; }
 
 RunSpec TrackedRequest::runSpec() const {
     return {externalId, requestClass, body, format, routingKey, deadline};
--- a/src/request/request_state.h
+++ b/src/request/request_state.h
@@ -32,6 +32,8 @@
 /// What is known about the request's run.
 enum class RunState {
     NotStarted,
+    /// There was no connection to send the start on: nothing runs. It is sent once there is one.
+    StartNotSent,
     Running,
     /// The start may have been lost with a connection, and the request must not run twice: it is sent again
     /// only once the client has been answered or has cancelled.
@@ -50,10 +52,25 @@
     DuplicateWaiting  ///< Waits for the end of the attempt that holds the key.
 };
 
-/// What was sent to a run to let it continue after it asked for its dependency call. Retained to be resent if
-/// it may have been lost with the executor's connection.
+/// What is known about the delivery of a continuation to its run.
+enum class Delivery {
+    /// There was no connection: the run has certainly not received it, and waits for it.
+    NotSent,
+    /// Sent. It arrives, unless the connection is lost shortly afterwards.
+    Sent,
+    /// The connection was lost shortly after it was sent. It must not be sent again, because whether the run
+    /// still waits for it is unknown.
+    Unconfirmed,
+    /// The dependency has carried out the call once more, which it does only while the run waits for it. The
+    /// new reply is sent once all reports that the executor had made by then are read, as one of them may say
+    /// that the run waits for its next call.
+    AwaitingReports
+};
+
+/// What lets a run continue after it asked for its dependency call.
 struct RunContinuation {
     std::optional<std::string> reply;  ///< Body of the reply; absent: the call was skipped.
+    Delivery delivery = Delivery::NotSent;
     Timestamp sentAt{0};
 };
 
@@ -84,9 +101,13 @@
     std::size_t reservedBytes = 0;  ///< Counted against the RequestManager's memory limit.
 
     bool isClientWaiting() const { return client == ClientState::Waiting; }
-    /// Whether the executor has not yet reported the end of the run; the start may be unconfirmed.
+    /// Whether the executor has not yet reported the end of the run. Its start may not have been sent yet.
     bool isRunInProgress() const;
     bool isDependencyCallInProgress() const { return dependencyCall == CallProgress::InProgress; }
+    /// Whether its run may or may not have received the continuation that was sent to it.
+    bool isContinuationUnconfirmed() const {
+        return continuation && continuation->delivery == Delivery::Unconfirmed;
+    }
     /// Whether no answer is due and no run is in progress.
     bool isFinished() const { return !isClientWaiting() && !isRunInProgress(); }
 
--- a/src/scgi/upstream_groups.cpp
+++ b/src/scgi/upstream_groups.cpp
@@ -157,9 +157,9 @@
     timer_.start(std::clamp(schedule_.begin()->first - currentTime(), 0ns, kMaxTimerDelay));
 }
 
-void UpstreamGroups::start(const request::RunSpec& spec) {
+bool UpstreamGroups::start(const request::RunSpec& spec) {
     const auto id = request::parseRequestId(spec.externalId);
-    if (!id || runs_.contains(*id)) return;
+    if (!id || runs_.contains(*id)) return true;
     Run& run = runs_[*id];
     run.externalId = spec.externalId;
     run.requestClass = spec.requestClass;
@@ -179,6 +179,7 @@
                   spec.body);
     ++counters_.requests;
     beginAttempt(*id, currentTime());
+    return true;
 }
 
 void UpstreamGroups::beginAttempt(RequestId id, Duration now) {
--- a/src/scgi/upstream_groups.h
+++ b/src/scgi/upstream_groups.h
@@ -67,11 +67,12 @@
                    std::uint64_t seed, request::RequestManager& requestManager, telemetry::Log& log);
     ~UpstreamGroups() override;
 
-    void start(const request::RunSpec& spec) override;
+    bool start(const request::RunSpec& spec) override;
     void cancel(const std::string& externalId) override;
     // The servers of the groups make their dependency calls themselves.
-    void supplyReply(const std::string& /*externalId*/, std::string_view /*reply*/) override {}
-    void skipDependencyCall(const std::string& /*externalId*/) override {}
+    bool supplyReply(const std::string& /*externalId*/, std::string_view /*reply*/) override { return true; }
+    bool skipDependencyCall(const std::string& /*externalId*/) override { return true; }
+    void confirmReports(RequestId /*id*/) override {}
     void requestGauges() override;
     void verifyWork(std::function<void(std::optional<bool>)> callback) override;
 
--- a/src/telemetry/counters.h
+++ b/src/telemetry/counters.h
@@ -40,6 +40,10 @@
     COUNTER(RunsStarted, "runs-started", "runs that the worker pool was told to start")                       \
     COUNTER(RunsCancelled, "runs-cancelled", "runs that the worker pool was told to cancel")                  \
     COUNTER(RunsCompleted, "runs-completed", "runs that the worker pool reported as ended")                   \
+    COUNTER(ContinuationsUnconfirmed, "continuations-unconfirmed",                                            \
+            "replies to calls, or notices to go on without one, that may be lost with a connection")          \
+    COUNTER(ContinuationsResent, "continuations-resent",                                                      \
+            "of the unconfirmed: sent again, as the run was proven to wait")                                  \
     COUNTER(CallsStarted, "calls-started", "calls to the dependency")                                         \
     COUNTER(CallsOk, "calls-ok", "calls that succeeded")                                                      \
     COUNTER(CallsError, "calls-error", "calls that the dependency answered with an error")                    \
--- a/src/worker_pool/worker_pool_client.cpp
+++ b/src/worker_pool/worker_pool_client.cpp
@@ -19,10 +19,13 @@
 constexpr int kReconnectMaxMillis = 100;
 // The input buffer gets this fraction (1/n) of the memory, the output buffer the rest.
 constexpr std::size_t kInputDivisor = 4;
-// References of polls. The answer to a caught-up poll follows all messages that the pool repeats on a new
+// Reference of a poll. The answer to a caught-up poll follows all messages that the pool repeats on a new
 // connection, and so confirms that they have all been read.
-constexpr const char* kGaugesReference = "gauges";
 constexpr const char* kCaughtUpReference = "caught-up";
+// Prefix of the references of polls for Executor::confirmReports; the id of the request follows.
+constexpr std::string_view kReportsReferencePrefix = "reports-";
+// Messages sent within this time before a connection breaks may be lost with it, in any order.
+constexpr Duration kLossWindow = 50ms;
 
 }  // namespace
 
@@ -48,19 +51,24 @@
 
 // ---- Messages to the pool -------------------------------------------------------------------------------
 
-void WorkerPoolClient::start(const request::RunSpec& run) {
+bool WorkerPoolClient::start(const request::RunSpec& run) {
     const std::string& requestClass = requestClasses_[static_cast<std::size_t>(run.requestClass)];
-    sendIfReady(startLine(run.externalId, requestClass, run.body));
+    return sendIfReady(startLine(run.externalId, requestClass, run.body));
 }
 
 void WorkerPoolClient::cancel(const std::string& externalId) { sendIfReady(cancelLine(externalId)); }
 
-void WorkerPoolClient::supplyReply(const std::string& externalId, std::string_view reply) {
-    sendIfReady(supplyLine(externalId, reply));
+bool WorkerPoolClient::supplyReply(const std::string& externalId, std::string_view reply) {
+    return sendIfReady(supplyLine(externalId, reply));
 }
 
-void WorkerPoolClient::skipDependencyCall(const std::string& externalId) {
-    sendIfReady(skipDependencyCallLine(externalId));
+bool WorkerPoolClient::skipDependencyCall(const std::string& externalId) {
+    return sendIfReady(skipDependencyCallLine(externalId));
+}
+
+// The pool answers polls in order with its reports, so the answer follows all reports made before it.
+void WorkerPoolClient::confirmReports(RequestId id) {
+    sendIfReady(pollLine(std::string(kReportsReferencePrefix) + request::formatRequestId(id)));
 }
 
 void WorkerPoolClient::requestGauges() {
@@ -69,7 +77,9 @@
     if (ready_ && pollPending && now - unansweredPollAt_ > kPollTimeout)
         return handleConnectionLost(net::ConnectionEnd::TimedOut);
     if (!pollPending) unansweredPollAt_ = now;
-    sendIfReady(pollLine(kGaugesReference));
+    ++gaugePollCount_;
+    const std::string reference = std::to_string(gaugePollCount_);
+    if (sendIfReady(pollLine(reference)) && !deliveryProbe_) deliveryProbe_ = DeliveryProbe{reference, now};
 }
 
 void WorkerPoolClient::verifyWork(std::function<void(std::optional<bool>)> onVerified) {
@@ -86,8 +96,9 @@
 }
 
 // Without a connection the message is dropped: RequestManager::resumeRuns resends what the pool needs later.
-void WorkerPoolClient::sendIfReady(const std::string& line) {
+bool WorkerPoolClient::sendIfReady(const std::string& line) {
     if (ready_) connection_->send(line);
+    return ready_;
 }
 
 // ---- The connection -------------------------------------------------------------------------------------
@@ -96,6 +107,7 @@
     reconnectTimer_.stop();
     scannedBytes_ = 0;
     unansweredPollAt_ = 0ns;
+    deliveryProbe_.reset();
     const std::size_t inputBytes = bufferBytes_ / kInputDivisor;
     const net::BufferLimits bounds{inputBytes, bufferBytes_ - inputBytes};
     // Not make_unique, which has no access to the private base class net::ConnectionHandler.
@@ -114,11 +126,8 @@
     connect();
 }
 
-// Messages sent shortly before the loss may not have arrived. The time of the first loss is retained until a
-// new connection has caught up.
 void WorkerPoolClient::markDisconnected() {
-    if (ready_ && lostAt_ == 0ns) lostAt_ = net::unixNow();
-    ready_ = false;
+    if (std::exchange(ready_, false)) requests_.executorConnectionLost();
 }
 
 void WorkerPoolClient::handleConnectionLost(net::ConnectionEnd end) {
@@ -198,7 +207,17 @@
 }
 
 void WorkerPoolClient::handle(const PollAnswered& message) {
-    if (message.reference == kCaughtUpReference) return requests_.resumeRuns(std::exchange(lostAt_, 0ns));
+    const std::string_view reference = message.reference;
+    if (reference == kCaughtUpReference) return requests_.resumeRuns();
+    if (reference.starts_with(kReportsReferencePrefix)) {
+        const auto id = request::parseRequestId(reference.substr(kReportsReferencePrefix.size()));
+        if (id) requests_.reportsDelivered(*id);
+        return;
+    }
+    if (deliveryProbe_ && deliveryProbe_->reference == reference) {
+        requests_.messagesReceived(deliveryProbe_->sentAt - kLossWindow);
+        deliveryProbe_.reset();
+    }
     requests_.updateGauges(gaugesOf(gaugeNames_, message.gauges));
 }
 
--- a/src/worker_pool/worker_pool_client.h
+++ b/src/worker_pool/worker_pool_client.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -35,10 +36,11 @@
                      std::uint64_t seed, request::RequestManager& requests, telemetry::Log& log,
                      telemetry::Counters& counters);
 
-    void start(const request::RunSpec& run) override;
+    bool start(const request::RunSpec& run) override;
     void cancel(const std::string& externalId) override;
-    void supplyReply(const std::string& externalId, std::string_view reply) override;
-    void skipDependencyCall(const std::string& externalId) override;
+    bool supplyReply(const std::string& externalId, std::string_view reply) override;
+    bool skipDependencyCall(const std::string& externalId) override;
+    void confirmReports(RequestId id) override;
     /// Also treats the connection as lost if an earlier poll has gone unanswered for too long.
     void requestGauges() override;
     /// Calls made while a check is in progress share its result.
@@ -50,10 +52,17 @@
     void arrived(net::Connection& connection) override;
     void ended(net::Connection& connection, net::ConnectionEnd end) override;
 
+    /// A poll whose answer shows that the pool has received all earlier messages.
+    struct DeliveryProbe {
+        std::string reference;
+        Timestamp sentAt{0};
+    };
+
     void connect();
     void markDisconnected();
     void handleConnectionLost(net::ConnectionEnd end);
-    void sendIfReady(const std::string& line);
+    /// @return whether there is a connection to send on.
+    bool sendIfReady(const std::string& line);
     void completeVerification(std::optional<bool> result);
 
     void handle(const PoolMessage& message);
@@ -82,8 +91,9 @@
     std::uint64_t lastSequenceNumber_ = 0;  // of the last numbered message that was read
     std::size_t scannedBytes_ = 0;          // prefix of the input without an end of line
     Timestamp unansweredPollAt_{0};  // when the first poll after the last received message was sent; 0: none
-    Timestamp lostAt_{0};            // of the connection, until a new one has caught up; 0: not lost
-    bool ready_ = false;             // the pool has accepted the connection
+    std::uint64_t gaugePollCount_ = 0;            // sent so far; also the reference of the last one
+    std::optional<DeliveryProbe> deliveryProbe_;  // at most one at a time
+    bool ready_ = false;                          // the pool has accepted the connection
     bool wasEverReady_ = false;
     bool lossLogged_ = false;  // a loss has been logged since the pool last accepted a connection
 };
--- a/tests/overload/controller_rules_test.cpp
+++ b/tests/overload/controller_rules_test.cpp
@@ -1,6 +1,6 @@
 // Property test with random scenarios: arrivals of every class, duplicates, cancellations, every outcome,
-// stalls, a shutdown notice, little memory, cold starts. The reference model of the harness checks its four
-// rules after every batch.
+// runs that possibly wait for a call that has ended, stalls, a shutdown notice, little memory, cold starts.
+// The reference model of the harness checks its four rules after every batch.
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
@@ -33,7 +33,8 @@
 RC_GTEST_PROP(ControllerRules, HoldAfterEveryBatch, ()) {
     ControllerHarness harness(randomConfig());
     const int batches = 150 + randomUpTo(250), maxArrivals = randomUpTo(4), failureOneIn = 1 + randomUpTo(9),
-              runStepOneIn = 1 + randomUpTo(19), earlyResultOneIn = 1 + randomUpTo(99);
+              runStepOneIn = 1 + randomUpTo(19), earlyResultOneIn = 1 + randomUpTo(99),
+              lossOneIn = 2 + randomUpTo(100);
     const int shutdownBatch = oneIn(2) ? randomUpTo(batches) : -1;
     RequestId nextId = 1;
     for (int i = 0; i < batches && harness.violations.empty(); ++i) {
@@ -66,12 +67,20 @@
                                                                      : Outcome::Ok;
                 if (tracked.answered || tracked.cancelled)
                     batch.runResults.push_back({id, Outcome::Cancelled, 100ms});
+                else if (tracked.repeatsCall && oneIn(3))
+                    batch.waitingForDependency.push_back(id);
                 else
-                    batch.dependencyResults.push_back({id, outcome, 50ms});
+                    batch.dependencyResults.push_back(
+                        {id, tracked.repeatsCall && oneIn(2) ? Outcome::Superseded : outcome, 50ms});
             } else if (tracked.state == ControllerHarness::RequestState::WaitingForCall &&
                        (tracked.answered || tracked.cancelled)) {
                 batch.runResults.push_back({id, Outcome::Cancelled, 100ms});
-            } else if (tracked.state == ControllerHarness::RequestState::OnCores && oneIn(runStepOneIn)) {
+            } else if (tracked.state == ControllerHarness::RequestState::OnCores && !tracked.answered &&
+                       !tracked.cancelled && tracked.callEnds > 0ns && oneIn(lossOneIn)) {
+                batch.possiblyStillWaiting.push_back(id);
+            } else if ((tracked.state == ControllerHarness::RequestState::OnCores ||
+                        tracked.state == ControllerHarness::RequestState::PossiblyWaiting) &&
+                       oneIn(runStepOneIn)) {
                 if (oneIn(2) && !tracked.answered && !tracked.cancelled)
                     batch.waitingForDependency.push_back(id);
                 else
--- a/tests/overload/controller_test.cpp
+++ b/tests/overload/controller_test.cpp
@@ -508,6 +508,107 @@
     EXPECT_GT(harness.starts, 0);
 }
 
+// Brings one request to the end of its first dependency call, whose reply may then be lost.
+void reachPossibleWait(ControllerHarness& harness, RequestId id, int requestClass) {
+    reachDependencyCall(harness, id, requestClass);
+    completeCall(harness, id, Outcome::Ok);
+    EventBatch batch;
+    batch.possiblyStillWaiting = {id};
+    harness.step(batch);
+}
+void reachNextCall(ControllerHarness& harness, RequestId id) {
+    EventBatch batch;
+    batch.waitingForDependency = {id};
+    harness.step(batch);
+}
+
+TEST(ControllerCalls, OnlyAnIdempotentRequestThatPossiblyWaitsRepeatsItsCall) {
+    for (const int requestClass : {0, 1, 2}) {
+        ControllerHarness harness(plainControllerConfig());
+        reachPossibleWait(harness, 1, requestClass);
+        EXPECT_EQ(harness.calls, requestClass == 0 ? 2 : 1);
+        for (int n = 0; n < 20; ++n) harness.step();
+        EXPECT_EQ(harness.skippedCalls, 0);
+        EXPECT_EQ(harness.failures, 0);
+    }
+}
+
+// Before a class has completed a run, a run of it is expected to take a sixth of its latency objective (2 s).
+TEST(ControllerCalls, ARequestWithoutProgressThatPossiblyWaitsFailsAfterThreeExpectedDurations) {
+    for (const int requestClass : {0, 1, 2}) {
+        ControllerHarness harness(plainControllerConfig());
+        reachPossibleWait(harness, 1, requestClass);
+        if (requestClass == 0) completeCall(harness, 1, Outcome::Error);
+        for (int n = 0; n < 44; ++n) harness.step();
+        EXPECT_EQ(harness.failures, 0);
+        for (int n = 0; n < 10; ++n) harness.step();
+        EXPECT_EQ(harness.failures, 1);
+        EXPECT_EQ(harness.skippedCalls, 0);
+    }
+}
+
+TEST(ControllerCalls, ARequestThatPossiblyWaitedHasItsWholeTimeOnceItShowsProgress) {
+    ControllerHarness harness(plainControllerConfig());
+    reachPossibleWait(harness, 1, 2);
+    reachNextCall(harness, 1);
+    harness.step();
+    for (int n = 0; n < 150; ++n) harness.step();
+    EXPECT_EQ(harness.failures, 0);
+    completeCall(harness, 1, Outcome::Ok);
+    completeRun(harness, 1);
+    EXPECT_EQ(harness.failures, 0);
+}
+
+TEST(ControllerCalls, ARequestThatPossiblyWaitedMakesItsNextCall) {
+    for (const int requestClass : {0, 1, 2}) {
+        ControllerHarness harness(plainControllerConfig());
+        reachPossibleWait(harness, 1, requestClass);
+        const int callsBefore = harness.calls;
+        reachNextCall(harness, 1);
+        harness.step();
+        EXPECT_EQ(harness.calls, callsBefore + 1);
+        completeCall(harness, 1, Outcome::Ok);
+        completeRun(harness, 1);
+        EXPECT_TRUE(harness.requests.empty());
+        EXPECT_EQ(harness.failures, 0);
+    }
+}
+
+TEST(ControllerCalls, ARepeatedCallThatIsSupersededShowsThatTheRunContinues) {
+    ControllerHarness harness(plainControllerConfig());
+    reachPossibleWait(harness, 1, 0);
+    completeCall(harness, 1, Outcome::Superseded);
+    for (int n = 0; n < 20; ++n) harness.step();
+    EXPECT_EQ(harness.calls, 2);
+    reachNextCall(harness, 1);
+    harness.step();
+    EXPECT_EQ(harness.calls, 3);
+    EXPECT_EQ(harness.failures, 0);
+}
+
+// Guards against a server that rejects nearly everything: a run that waits for a lost reply was taken for one
+// that has used a core for seconds, and the server for one that is slowed down by its load.
+TEST(ControllerRuns, ARunThatPossiblyWaitsDoesNotSlowDownAdmission) {
+    ControllerHarness harness(plainControllerConfig());
+    RequestId nextId = 1;
+    for (; nextId <= 20; ++nextId) {
+        EventBatch batch;
+        batch.arrivals = {harness.newRequest(nextId, 2)};
+        harness.step(batch);
+        completeRun(harness, nextId);
+    }
+    for (int n = 0; n < 6; ++n) reachPossibleWait(harness, nextId++, 2);
+    const int startsBefore = harness.starts;
+    for (int n = 0; n < 100; ++n) {
+        EventBatch batch;
+        batch.arrivals = {harness.newRequest(nextId, 2)};
+        harness.step(batch);
+        completeRun(harness, nextId++);
+    }
+    EXPECT_EQ(harness.starts, startsBefore + 100);
+    EXPECT_EQ(harness.rejections, 0);
+}
+
 // Regression test for a fault found by the load test slow-records: runs cancelled during their call were
 // never stopped. If the executor does not end such runs by itself, 26 of them exhausted a server's limit, and
 // from then on the server completed only a fifth of its load.
--- a/tests/request/request_manager_test.cpp
+++ b/tests/request/request_manager_test.cpp
@@ -66,12 +66,20 @@
 };
 
 struct RecordingExecutor : Executor {
-    void start(const RunSpec& run) override { sent.push_back("start " + run.externalId); }
+    bool start(const RunSpec& run) override {
+        if (connected) sent.push_back("start " + run.externalId);
+        return connected;
+    }
     void cancel(const std::string& externalId) override { sent.push_back("cancel " + externalId); }
-    void supplyReply(const std::string& externalId, std::string_view reply) override {
-        sent.push_back("supply " + externalId + " " + std::string(reply));
+    bool supplyReply(const std::string& externalId, std::string_view reply) override {
+        if (connected) sent.push_back("supply " + externalId + " " + std::string(reply));
+        return connected;
+    }
+    bool skipDependencyCall(const std::string& externalId) override {
+        if (connected) sent.push_back("skip " + externalId);
+        return connected;
     }
-    void skipDependencyCall(const std::string& externalId) override { sent.push_back("skip " + externalId); }
+    void confirmReports(RequestId id) override { sent.push_back("confirm reports " + std::to_string(id)); }
     void requestGauges() override {}
     void verifyWork(std::function<void(std::optional<bool>)> onVerified) override {
         ++verifications;
@@ -79,6 +87,7 @@
     }
 
     std::vector<std::string> sent;
+    bool connected = true;
     int verifications = 0;
     std::optional<bool> verificationResult;
 };
@@ -118,6 +127,10 @@
     void complete(RequestId id, Outcome outcome = Outcome::Ok, std::string_view result = "result") {
         manager.runCompleted(id, outcome, 5ms, result);
     }
+    void loseAndRestoreConnection() {
+        manager.executorConnectionLost();
+        manager.resumeRuns();
+    }
     void expectNothingTracked() {
         manager.processEvents();
         EXPECT_EQ(manager.trackedCount(), 0U);
@@ -219,19 +232,169 @@
     acceptAndStart(2, kNonIdempotentClass);
     acceptAndStart(3, kKeyedClass, "key");
     executor.sent.clear();
-    manager.resumeRuns(net::unixNow());
+    loseAndRestoreConnection();
+    EXPECT_EQ(executor.sent, std::vector<std::string>{"start 1"});
+}
+
+TEST_F(RequestManagerTest, StartsARunThatWasNotStartedForLackOfAConnection) {
+    becomeReady();
+    manager.executorConnectionLost();
+    executor.connected = false;
+    accept(1, kNonIdempotentClass);
+    manager.processEvents();
+    EXPECT_TRUE(executor.sent.empty());
+    executor.connected = true;
+    manager.resumeRuns();
     EXPECT_EQ(executor.sent, std::vector<std::string>{"start 1"});
+    loseAndRestoreConnection();  // whether this start has arrived is unknown
+    EXPECT_EQ(executor.sent, std::vector<std::string>{"start 1"});
+    complete(1);
+    EXPECT_EQ(sink.answers[1], "completed result");
+    expectNothingTracked();
 }
 
-TEST_F(RequestManagerTest, RepeatsAReplyThatMayBeLostWithTheConnection) {
+TEST_F(RequestManagerTest, SuppliesAReplyThatWasNotSentForLackOfAConnection) {
     becomeReady();
     acceptAndStart(1, kNonIdempotentClass);
     manager.runWaitsForDependency(1, "call");
     manager.processEvents();
+    executor.connected = false;
     manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
     executor.sent.clear();
-    manager.resumeRuns(net::unixNow());
+    executor.connected = true;
+    loseAndRestoreConnection();
     EXPECT_EQ(executor.sent, std::vector<std::string>{"supply 1 reply"});
+    EXPECT_EQ(counters.of(Count::ContinuationsUnconfirmed), 0U);
+}
+
+TEST_F(RequestManagerTest, DoesNotDoubtAReplyThatWasSentOnTheNewConnection) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "call");
+    manager.processEvents();
+    manager.executorConnectionLost();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");  // before the reports are processed
+    manager.processEvents();
+    dependencyClient.started.clear();
+    manager.resumeRuns();
+    manager.processEvents();
+    EXPECT_TRUE(dependencyClient.started.empty());
+    EXPECT_EQ(counters.of(Count::ContinuationsUnconfirmed), 0U);
+}
+
+TEST_F(RequestManagerTest, NeverRepeatsAReplyThatMayHaveReachedARunThatMayRunOnlyOnce) {
+    becomeReady();
+    for (const int requestClass : {kNonIdempotentClass, kKeyedClass}) {
+        const auto id = static_cast<RequestId>(requestClass);
+        acceptAndStart(id, requestClass, requestClass == kKeyedClass ? "key" : "");
+        manager.runWaitsForDependency(id, "call");
+        manager.processEvents();
+        manager.dependencyCallCompleted(id, Outcome::Ok, 5ms, "reply");
+        manager.processEvents();
+    }
+    executor.sent.clear();
+    dependencyClient.started.clear();
+    for (int connectionLosses = 1; connectionLosses <= 2; ++connectionLosses) {
+        loseAndRestoreConnection();
+        manager.processEvents();
+    }
+    EXPECT_TRUE(executor.sent.empty());
+    EXPECT_TRUE(dependencyClient.started.empty());
+    EXPECT_EQ(counters.of(Count::ContinuationsUnconfirmed), 2U);
+}
+
+TEST_F(RequestManagerTest, RepeatsTheCallOfAnIdempotentRunToLearnWhetherItStillWaits) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "call");
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.processEvents();
+    executor.sent.clear();
+    dependencyClient.started.clear();
+    loseAndRestoreConnection();
+    manager.processEvents();
+    EXPECT_EQ(executor.sent, std::vector<std::string>{"start 1"});
+    EXPECT_EQ(dependencyClient.started[1], "call");
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "second reply");
+    EXPECT_EQ(executor.sent.back(), "confirm reports 1");
+    manager.reportsDelivered(1);
+    EXPECT_EQ(executor.sent.back(), "supply 1 second reply");
+    executor.sent.clear();
+    manager.reportsDelivered(1);
+    EXPECT_TRUE(executor.sent.empty());
+}
+
+TEST_F(RequestManagerTest, SuppliesARepeatedReplyAlthoughTheConnectionIsLostAgain) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "call");
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.processEvents();
+    loseAndRestoreConnection();
+    manager.processEvents();
+    manager.executorConnectionLost();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "second reply");
+    manager.processEvents();
+    executor.sent.clear();
+    manager.resumeRuns();
+    EXPECT_EQ(executor.sent, (std::vector<std::string>{"start 1", "confirm reports 1"}));
+    manager.reportsDelivered(1);
+    EXPECT_EQ(executor.sent.back(), "supply 1 second reply");
+}
+
+TEST_F(RequestManagerTest, DropsARepeatedReplyIfTheRunHasReceivedTheFirstOne) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "first");
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.processEvents();
+    loseAndRestoreConnection();
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "second reply");
+    executor.sent.clear();
+    manager.runWaitsForDependency(1, "second");
+    manager.reportsDelivered(1);
+    EXPECT_TRUE(executor.sent.empty());
+    manager.processEvents();
+    EXPECT_EQ(dependencyClient.started[1], "second");
+}
+
+TEST_F(RequestManagerTest, AbandonsARepeatedCallOnceTheRunWaitsForItsNextCall) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "first");
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.processEvents();
+    loseAndRestoreConnection();
+    manager.processEvents();
+    EXPECT_EQ(dependencyClient.started[1], "first");
+    manager.runWaitsForDependency(1, "second");
+    EXPECT_EQ(dependencyClient.abandoned, std::vector<RequestId>{1});
+    manager.processEvents();
+    EXPECT_EQ(dependencyClient.started[1], "second");
+}
+
+TEST_F(RequestManagerTest, ARunThatTheDependencyReportsNotToWaitGoesOn) {
+    becomeReady();
+    acceptAndStart(1, kIdempotentClass);
+    manager.runWaitsForDependency(1, "first");
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.processEvents();
+    loseAndRestoreConnection();
+    manager.processEvents();
+    manager.dependencyCallCompleted(1, Outcome::Superseded, 5ms, "");
+    manager.processEvents();
+    executor.sent.clear();
+    dependencyClient.started.clear();
+    manager.runWaitsForDependency(1, "second");
+    manager.processEvents();
+    EXPECT_EQ(dependencyClient.started[1], "second");
+    EXPECT_TRUE(executor.sent.empty());
 }
 
 TEST_F(RequestManagerTest, DoesNotRepeatAReplyThatArrivedLongBeforeTheConnectionWasLost) {
@@ -240,9 +403,11 @@
     manager.runWaitsForDependency(1, "call");
     manager.processEvents();
     manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
+    manager.messagesReceived(net::unixNow());
     executor.sent.clear();
-    manager.resumeRuns(net::unixNow() + 1min);
+    loseAndRestoreConnection();
     EXPECT_TRUE(executor.sent.empty());
+    EXPECT_EQ(counters.of(Count::ContinuationsUnconfirmed), 0U);
 }
 
 TEST_F(RequestManagerTest, DoesNotRepeatAReplyOnceTheRunWaitsForItsNextCall) {
@@ -254,7 +419,7 @@
     manager.processEvents();
     manager.runWaitsForDependency(1, "second");
     executor.sent.clear();
-    manager.resumeRuns(net::unixNow());
+    loseAndRestoreConnection();
     EXPECT_TRUE(executor.sent.empty());
 }
 
@@ -284,7 +449,7 @@
     acceptAndStart(1, kKeyedClass, "key");
     accept(2, kKeyedClass, "key");
     manager.processEvents();
-    manager.resumeRuns(net::unixNow());  // the start is unconfirmed from here on
+    loseAndRestoreConnection();  // the start is unconfirmed from here on
     complete(1, Outcome::Superseded);
     EXPECT_EQ(sink.answers[2], "failed");
     expectNothingTracked();
--- a/tests/request/request_state_test.cpp
+++ b/tests/request/request_state_test.cpp
@@ -30,6 +30,8 @@
     request.client = ClientState::Cancelled;
     request.run = RunState::Running;
     EXPECT_FALSE(request.isFinished());
+    request.run = RunState::StartNotSent;
+    EXPECT_TRUE(request.isRunInProgress());
     request.run = RunState::StartUnconfirmed;
     EXPECT_TRUE(request.isRunInProgress());
     EXPECT_FALSE(request.isFinished());
--- a/tests/support/fake_worker_pool.h
+++ b/tests/support/fake_worker_pool.h
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -42,12 +43,25 @@
     }
     /// Reports that a run waits for its dependency call.
     void block(const std::string& job, const std::string& body) {
+        waitingCalls[job] = body;
         sendNotice({{"type", "blocked"}, {"job", job}, {"data", worker_pool::encodeBase64(body)}});
     }
     /// Sends a message that is not a numbered notice.
     void send(const Json& message) { server.connections.back().connection->send(message.dump() + "\n"); }
 
+    /// A reply as it was supplied.
+    struct SuppliedReply {
+        std::string job;
+        std::string waitingCall;  ///< Body of the call that the run waited for; empty: it did not wait.
+        std::string reply;
+    };
+
     bool available = true, answersPolls = true;
+    bool losesCommands = false;  ///< Whether messages to runs are lost instead of carried out.
+    /// Called with the reference of each poll, before it is answered and after.
+    std::function<void(const std::string&reference)> beforePollAnswer, afterPollAnswer;
+    std::map<std::string, std::string> waitingCalls;  ///< By job: body of the call that its run waits for.
+    std::vector<SuppliedReply> suppliedReplies;
     std::string verificationState = "ok";
     std::map<std::string, std::string> running, dependencyResponses,
         requestClasses;  // by job: body, reply, class
@@ -70,6 +84,8 @@
                 send({{"type", "bound"}, {"state", "warm"}, {"took", 60000}});
                 for (const Json& notice : notices)
                     if (notice["n"] > message["n"]) send(notice);
+            } else if (losesCommands && type != "poll" && type != "verify") {
+                continue;
             } else if (type == "spawn") {
                 ++startCount;
                 requestClasses[job] = message["kind"];
@@ -82,12 +98,17 @@
                 if (running.contains(job)) finish(job, "halted");
             } else if (type == "supply") {
                 dependencyResponses[job] = data;
+                suppliedReplies.push_back({job, waitingCalls[job], data});
+                waitingCalls.erase(job);
             } else if (type == "pass") {
                 skippedCalls.push_back(job);
+                waitingCalls.erase(job);
             } else if (type == "poll") {
                 ++pollCount;
+                if (beforePollAnswer) beforePollAnswer(message["ref"]);
                 if (answersPolls)
                     send({{"type", "polled"}, {"ref", message["ref"]}, {"gauges", {0.4, 2.0, 0.3, 5}}});
+                if (afterPollAnswer) afterPollAnswer(message["ref"]);
             } else if (type == "verify") {
                 ++verificationCount;
                 if (!verificationState.empty())
--- a/tests/support/reference_model.h
+++ b/tests/support/reference_model.h
@@ -36,11 +36,12 @@
 public:
     /// The progress of a request.
     enum class RequestState {
-        Queued,          ///< Not started.
-        OnCores,         ///< Running.
-        WaitingForCall,  ///< Waiting for its dependency call.
-        CallInFlight,    ///< Its dependency call is in progress.
-        JoinedDuplicate  ///< A duplicate that waits for the earlier attempt with its idempotency key.
+        Queued,           ///< Not started.
+        OnCores,          ///< Running.
+        PossiblyWaiting,  ///< Running, or waiting for a call that has ended; not known which.
+        WaitingForCall,   ///< Waiting for its dependency call.
+        CallInFlight,     ///< Its dependency call is in progress.
+        JoinedDuplicate   ///< A duplicate that waits for the earlier attempt with its idempotency key.
     };
 
     /// A request in progress.
@@ -54,6 +55,7 @@
         bool cancelled = false;  ///< The client cancelled it.
         bool ran = false;
         bool calledBefore = false;  ///< An attempt of the pending call was sent.
+        bool repeatsCall = false;   ///< Its pending call has ended before and is repeated.
         bool lastCallNeverRan = true;
     };
 
@@ -84,19 +86,31 @@
         }
         for (const Completion& call : batch.dependencyResults) {
             TrackedRequest& tracked = requests.at(call.id);
+            const bool runContinues = call.outcome == Outcome::Ok || call.outcome == Outcome::Superseded;
             if (call.outcome == Outcome::TimedOut)
                 abandonedCallsEnd_.push_back(now + config.abandonedCallTime);
-            tracked.state =
-                call.outcome == Outcome::Ok ? RequestState::OnCores : RequestState::WaitingForCall;
+            if (runContinues)
+                tracked.state = RequestState::OnCores;
+            else
+                tracked.state =
+                    tracked.repeatsCall ? RequestState::PossiblyWaiting : RequestState::WaitingForCall;
             tracked.lastCallNeverRan = call.outcome == Outcome::ResourceExhausted ||
                                        call.outcome == Outcome::Unreachable ||
                                        call.outcome == Outcome::LocalLimit;
-            if (call.outcome == Outcome::Ok) tracked.calledBefore = false;
+            if (runContinues) tracked.calledBefore = tracked.repeatsCall = false;
             --callsInFlight;
         }
+        for (const RequestId id : batch.possiblyStillWaiting) {
+            TrackedRequest& tracked = requests.at(id);
+            tracked.state = RequestState::PossiblyWaiting;
+            tracked.calledBefore = tracked.repeatsCall = true;
+            tracked.lastCallNeverRan = false;
+        }
         for (const RequestId id : batch.waitingForDependency) {
-            requests.at(id).state = RequestState::WaitingForCall;
-            requests.at(id).calledBefore = false;
+            TrackedRequest& tracked = requests.at(id);
+            if (tracked.state == RequestState::CallInFlight) endCallOfContinuedRun();
+            tracked.state = RequestState::WaitingForCall;
+            tracked.calledBefore = tracked.repeatsCall = false;
         }
         for (const Completion& run : batch.runResults) {
             if (requests.at(run.id).state == RequestState::CallInFlight) --callsInFlight;
@@ -165,8 +179,9 @@
     void callDependency(RequestId id, Duration timeout) override {
         ++callsInFlight;
         TrackedRequest& tracked = requests.at(id);
-        check(tracked.state == RequestState::WaitingForCall && !tracked.answered,
-              "call of a run that waits for none");
+        const bool mayWait =
+            tracked.state == RequestState::WaitingForCall || tracked.state == RequestState::PossiblyWaiting;
+        check(mayWait && !tracked.answered, "call of a run that waits for none");
         if (idempotency(tracked) != Idempotency::Idempotent)
             check(!tracked.calledBefore || tracked.lastCallNeverRan,
                   "call repeated that may have had its effect");
@@ -203,6 +218,12 @@
         return tracked.request.duplicateOf != 0 ? tracked.request.duplicateOf : tracked.request.id;
     }
 
+    /// The run has come to its next call while its last one was repeated: the repetition is abandoned.
+    void endCallOfContinuedRun() {
+        --callsInFlight;
+        abandonedCallsEnd_.push_back(now + config.abandonedCallTime);
+    }
+
     void answer(RequestId id) {
         TrackedRequest& tracked = requests.at(id);
         check(!(tracked.answered), "answered twice");
@@ -223,7 +244,8 @@
     /// The mean number of runs on the cores over the window stays below the number at which the server
     /// collapses.
     void checkRunsOnCores() {
-        runsOnCores_.push_back(countInState(RequestState::OnCores));
+        runsOnCores_.push_back(countInState(RequestState::OnCores) +
+                               countInState(RequestState::PossiblyWaiting));
         const std::size_t batchesInWindow = static_cast<std::size_t>(config.overloadWindow / 20ms);
         if (runsOnCores_.size() < batchesInWindow) return;
         double mean = 0;
