A request with the id 0 is a request like any other

Cause: inside, the id 0 meant "none". The connection of such a run was taken for that of a health check, so its reply did not end the run, and the run kept a pointer to the deleted connection; at its deadline it released another run's connection in its place. Evidence: the address sanitizer on the new test before the change: heap-use-after-free in UpstreamGroups::processDueRuns, of a connection that beginAttempt made for that run. Other ids go the same way without it. In the same manner a key whose first attempt had the id 0 counted as held by nobody: IdempotentRequestsTest.DuplicatesOfAnAttemptWithTheIdZeroShareItsRun failed before. Change: optional ids for the run of a connection, the request of an SCGI client, the holder of a key and the attempt that a request duplicates. The SCGI server keeps the id 0, which it replaced. Why it works: no value of an id stands for anything else any more.

--- a/src/overload/arrival_handling.cpp
+++ b/src/overload/arrival_handling.cpp
@@ -10,7 +10,7 @@
 void ArrivalHandling::accept(const Request& arrival) {
     RequestState& request = track(arrival);
     const bool keyed = context_.classOf(request).idempotency == Idempotency::WithKey;
-    if (keyed && arrival.duplicateOf != 0) {
+    if (keyed && arrival.duplicateOf) {
         joinDuplicate(request);
     } else {
         admit(request);
--- a/src/overload/types.h
+++ b/src/overload/types.h
@@ -139,7 +139,8 @@
     /// after the arrival time, which the client states and at which the client may only have started to
     /// write. Default: the arrival time.
     std::optional<Timestamp> fullyReceivedBy;
-    RequestId duplicateOf = 0;  ///< The earlier attempt with the same idempotency key; 0: none known.
+    /// The earlier attempt with the same idempotency key, if one is known.
+    std::optional<RequestId> duplicateOf;
 };
 
 /// The end of a run or of a dependency call.
--- a/src/request/request_manager.cpp
+++ b/src/request/request_manager.cpp
@@ -72,8 +72,7 @@
 // holds the idempotency key and may have run, the request fails instead.
 void RequestManager::rejectForCapacity(Table::iterator entry, const IncomingRequest& incoming) {
     if (controller_) counters_.add(Count::RejectedForMemory);
-    if (!incoming.idempotencyKey.empty() && keys_.holder(incoming.idempotencyKey) != 0)
-        return answerFailed(entry);
+    if (!incoming.idempotencyKey.empty() && keys_.holder(incoming.idempotencyKey)) return answerFailed(entry);
     answerRejected(entry, {});
 }
 
--- a/src/scgi/scgi_server.cpp
+++ b/src/scgi/scgi_server.cpp
@@ -71,7 +71,7 @@
     ScgiServer& server;
     RequestReader reader;
     Duration openedAt = net::unixNow(), headReadAt{0}, respondedAt{0};
-    RequestId requestId = 0;  // 0 until the request is passed on, and after its response
+    std::optional<RequestId> requestId;  // from when the request is passed on until its response
     std::size_t accountedBytes = 0;
     bool responded = false;
     Duration deadline{0};
@@ -129,9 +129,8 @@
     // The request gets a new id if the client sent none, an invalid one, or one that is in flight: a client
     // must not be able to take over the id of another client's request.
     auto id = request::parseRequestId(header("HTTP_X_TRACE").value_or(""));
-    while (!id || *id == 0 || requests_.contains(*id)) id = randomGenerator_();
-    char traceId[17];
-    std::snprintf(traceId, sizeof traceId, "%016llx", static_cast<unsigned long long>(*id));
+    while (!id || requests_.contains(*id)) id = randomGenerator_();
+    const std::string traceId = request::formatRequestId(*id);
     const Duration now = net::unixNow();
     Duration timeout = requestClass.timeout;
     if (const auto attemptTimeout = parseNonNegative(header("HTTP_X_PATIENCE_MS"));
@@ -194,7 +193,7 @@
     if (at == clientsByRequest_.end()) return;
     ClientConnection& client = *at->second;
     clientsByRequest_.erase(at);
-    client.requestId = 0;
+    client.requestId.reset();
     client.responded = true;
     client.respondedAt = net::unixNow();
     client.connection->send(bytes);
@@ -229,9 +228,9 @@
 
 void ScgiServer::close(ClientConnection& client) {
     incompleteBodyBytes_ -= std::exchange(client.accountedBytes, 0);
-    if (client.requestId != 0) {
-        clientsByRequest_.erase(client.requestId);
-        requests_.clientCancelled(client.requestId);
+    if (client.requestId) {
+        clientsByRequest_.erase(*client.requestId);
+        requests_.clientCancelled(*client.requestId);
     }
     client.connection->tryFlush();
     client.connection.reset();
@@ -252,7 +251,7 @@
                 close(client);
             continue;
         }
-        if (client.requestId != 0) continue;
+        if (client.requestId) continue;
         const bool readingHead = client.reader.state() == RequestReader::State::Head;
         if (now - (readingHead ? client.openedAt : client.headReadAt) <
             (readingHead ? config_.headTimeout : config_.bodyTimeout))
@@ -274,7 +273,7 @@
 
 void ScgiServer::rejectIncomplete() {
     for (const auto& client : clients_)
-        if (!client->responded && client->requestId == 0) {
+        if (!client->responded && !client->requestId) {
             ++counters_.cutAtShutdown;
             respondWithError(*client, 503, "LV", "this server is leaving");
         }
--- a/src/scgi/upstream_groups.cpp
+++ b/src/scgi/upstream_groups.cpp
@@ -23,7 +23,7 @@
 
 struct UpstreamGroups::UpstreamConnection : net::ConnectionHandler {
     UpstreamConnection(UpstreamGroups& owner, std::size_t groupIndex, std::size_t endpointIndex,
-                       RequestId run)
+                       std::optional<RequestId> run)
         : groups(owner),
           group(groupIndex),
           endpoint(endpointIndex),
@@ -43,7 +43,7 @@
     }
     UpstreamGroups& groups;
     const std::size_t group, endpoint;
-    const RequestId runId;  ///< 0: a health check.
+    const std::optional<RequestId> runId;  ///< Absent: a health check.
     std::unique_ptr<net::Connection> transport;
     scgi::ReplyReader reader;
     Duration startedAt{0};
@@ -227,14 +227,14 @@
                                        Duration now) {
     Group& group = *groups_[connection.group];
     Endpoint& endpoint = group.endpoints[connection.endpoint];
-    if (connection.runId == 0) {
+    if (!connection.runId) {
         --healthChecksInFlight_;
         endpoint.healthCheck = nullptr;
     } else {
         --endpoint.inFlight;
         group.balancer.requestEnded(connection.endpoint, latency, now);
         if (latency) endpoint.limit.recordSuccess(*latency, endpoint.inFlight + 1, now);
-        if (const auto run = runs_.find(connection.runId); run != runs_.end())
+        if (const auto run = runs_.find(*connection.runId); run != runs_.end())
             run->second.connection = nullptr;
     }
     connection.transport.reset();
@@ -267,7 +267,7 @@
     const std::size_t endpointIndex = connection.endpoint;
     const auto state = connection.reader.state();
     const State before = group.outliers.state(endpointIndex, now);
-    if (connection.runId == 0) {
+    if (!connection.runId) {
         const bool succeeded =
             state == scgi::ReplyReader::State::Complete && connection.reader.reply().status < 500;
         releaseConnection(connection, std::nullopt, now);
@@ -275,7 +275,7 @@
             group.outliers.recordHealthCheck(endpointIndex, succeeded, now, random_);
         return onStateChange(group, endpointIndex, before, now);
     }
-    const RequestId id = connection.runId;
+    const RequestId id = *connection.runId;
     if (state == scgi::ReplyReader::State::Malformed) {
         ++counters_.malformedReplies;
         releaseConnection(connection, std::nullopt, now);
@@ -319,9 +319,9 @@
         end == net::ConnectionEnd::ConnectRefused || end == net::ConnectionEnd::ConnectTimedOut;
     (connectFailed ? counters_.connectFailures : counters_.connectionsLost) += 1;
     const State before = group.outliers.state(endpointIndex, now);
-    const RequestId id = connection.runId;
+    const std::optional<RequestId> id = connection.runId;
     releaseConnection(connection, std::nullopt, now);
-    if (id == 0) {
+    if (!id) {
         if (!group.endpoints[endpointIndex].draining)
             group.outliers.recordHealthCheck(endpointIndex, false, now, random_);
         return onStateChange(group, endpointIndex, before, now);
@@ -329,7 +329,7 @@
     group.outliers.recordFailure(endpointIndex, now, random_);
     group.endpoints[endpointIndex].limit.recordFailure(now);
     onStateChange(group, endpointIndex, before, now);
-    attemptFailed(id, connectFailed ? ExecutionState::NotStarted : ExecutionState::Unknown, now,
+    attemptFailed(*id, connectFailed ? ExecutionState::NotStarted : ExecutionState::Unknown, now,
                   connectFailed ? "connect failed" : "connection lost");
 }
 
@@ -458,7 +458,7 @@
             }
             if (connections_.size() >= limits_.maxConnections) continue;
             auto connection =
-                std::make_unique<UpstreamConnection>(*this, groupIndex, endpointIndex, RequestId{0});
+                std::make_unique<UpstreamConnection>(*this, groupIndex, endpointIndex, std::nullopt);
             connection->startedAt = now;
             connection->transport = std::make_unique<net::Connection>(
                 loop_, endpoint.config.address, *connection, net::BufferLimits{65536, 8192, bufferBudget_});
--- a/src/simulator/event_reader.cpp
+++ b/src/simulator/event_reader.cpp
@@ -102,7 +102,9 @@
     checkOptionalId(line, wire::kClient);
     if (!line.isAbsent(wire::kQueuedBeforeReadUs))
         request.queuedBeforeRead = line.microseconds(wire::kQueuedBeforeReadUs);
-    if (!line.isAbsent(wire::kDuplicateOf)) request.duplicateOf = line.id(wire::kDuplicateOf);
+    // On the simulator's wire, 0 stands for none as well.
+    if (!line.isAbsent(wire::kDuplicateOf) && line.id(wire::kDuplicateOf) != 0)
+        request.duplicateOf = line.id(wire::kDuplicateOf);
     return request;
 }
 
--- a/src/state/idempotency_keys.cpp
+++ b/src/state/idempotency_keys.cpp
@@ -32,9 +32,10 @@
     return KeyClaim::Granted;
 }
 
-RequestId IdempotencyKeys::holder(const std::string& key) const {
+std::optional<RequestId> IdempotencyKeys::holder(const std::string& key) const {
     const auto position = table_.find(key);
-    return position == table_.end() ? 0 : position->second.holder;
+    if (position == table_.end()) return std::nullopt;
+    return position->second.holder;
 }
 
 KeyResult IdempotencyKeys::join(const std::string& key, RequestId duplicate) {
--- a/src/state/idempotency_keys.h
+++ b/src/state/idempotency_keys.h
@@ -72,8 +72,8 @@
     /// @param attempt its readAt is taken as the current time; keys that have expired by then are removed.
     KeyClaim claim(const std::string& key, const KeyAttempt& attempt, KeyRetention retention);
 
-    /// @return the attempt that holds the key; 0: none.
-    RequestId holder(const std::string& key) const;
+    /// @return the attempt that holds the key, if any.
+    std::optional<RequestId> holder(const std::string& key) const;
 
     /// Returns the outcome of the attempt that holds the key. While it is pending, the duplicate waits: it
     /// will be returned by completed(), failed() or release().
--- a/tests/request/idempotent_requests_test.cpp
+++ b/tests/request/idempotent_requests_test.cpp
@@ -67,6 +67,23 @@
     fixture.expectCountersBalanced();
 }
 
+// Guards against a second run: the id 0 of the attempt that holds the key was taken for "no attempt holds
+// it".
+TEST(IdempotentRequestsTest, DuplicatesOfAnAttemptWithTheIdZeroShareItsRun) {
+    IdempotentRequests fixture;
+    const auto first = fixture.sendAttempt(0, "k1");
+    fixture.awaitRun(0);
+    const auto second = fixture.sendAttempt(2, "k1");
+    fixture.waitUntil([&] { return fixture.count(Count::DuplicateRequests) == 1; });
+    fixture.pool.finish(ThriftTestClient::requestId(0), "ok", "result");
+    EXPECT_EQ(fixture.awaitAnswer(first).body, "result");
+    EXPECT_EQ(fixture.awaitAnswer(second).body, "result");
+    const auto third = fixture.sendAttempt(3, "k1");  // after the run ended
+    EXPECT_EQ(fixture.awaitAnswer(third).body, "result");
+    EXPECT_EQ(fixture.pool.startCount, 1);
+    fixture.expectCountersBalanced();
+}
+
 TEST(IdempotentRequestsTest, ADuplicateReadInTheSameTurnWaitsForTheFirstAttempt) {
     IdempotentRequests fixture;
     testing::FieldMap one = ThriftTestClient::requestFields(1);
--- a/tests/scgi/scgi_test.cpp
+++ b/tests/scgi/scgi_test.cpp
@@ -300,6 +300,42 @@
     fixture.expectEveryRequestEnded();
 }
 
+// Guards against a second run of another client's request and against a crash: the id 0 was taken for the
+// mark of a health check, so the run of that request kept a pointer to a connection that was gone.
+TEST(Gateway, ARequestWithTheIdZeroIsServedLikeAnyOther) {
+    loadtest::EmulatedScgiServerConfig slowServer;
+    slowServer.serviceTime = 100ms;
+    GatewayFixture fixture({slowServer, slowServer}, "", "checks 20ms path=\"/health\"");
+    testing::ThriftTestClient client(fixture.loop, fixture.gateway->thriftServer()->port());
+    const auto sequence = client.sendRequest(0, "body", "filing", 600);
+    const Timestamp deadline = net::unixNow() + 600ms;
+    // Once-only requests are in progress all the time, also at the deadline of the request with the id 0.
+    constexpr std::size_t kInProgress = 8;
+    std::size_t sent = 1;
+    runUntil(fixture.loop, [&] {
+        for (; sent < client.answers.size() + kInProgress; ++sent)
+            client.sendRequest(static_cast<int>(sent), "body", "filing", 1500);
+        return net::unixNow() > deadline + 300ms;
+    });
+    runUntil(fixture.loop, [&] { return client.answers.size() == sent; });
+    EXPECT_EQ(client.answers[sequence].body, "ok 0000000000000000");
+    std::map<std::string, int> runs;
+    for (const auto& server : fixture.servers)
+        for (const auto& [trace, count] : server->runs()) runs[trace] += count;
+    for (const auto& [trace, count] : runs) EXPECT_EQ(count, 1) << trace;
+    runUntil(fixture.loop, [&] { return fixture.gateway->upstreamGroups().inFlight() == 0; });
+    fixture.expectEveryRequestEnded();
+}
+
+TEST(Gateway, AnScgiRequestKeepsTheIdZero) {
+    GatewayFixture fixture({loadtest::EmulatedScgiServerConfig{}});
+    const auto client = fixture.newClient();
+    client->sendRequest("/filing/1", "POST", {{"HTTP_X_TRACE", "0000000000000000"}}, "body");
+    runUntil(fixture.loop, [&] { return client->closed; });
+    EXPECT_EQ(client->text, scgi::writeReply(200, {{"Content-Type", "text/plain"}}, "ok 0000000000000000"));
+    fixture.expectEveryRequestEnded();
+}
+
 // Guards against a reset of a connection that is still in the listen backlog when the listener closes.
 TEST(Gateway, AnScgiConnectionThatWaitsAtTheListenerIsAnsweredAtTheDrain) {
     GatewayFixture fixture({loadtest::EmulatedScgiServerConfig{}});
--- a/tests/simulator/event_reader_test.cpp
+++ b/tests/simulator/event_reader_test.cpp
@@ -77,7 +77,8 @@
     EXPECT_FALSE(plain.deadline);
     EXPECT_FALSE(plain.expectedWork);
     EXPECT_FALSE(plain.isRetry);
-    EXPECT_EQ(plain.duplicateOf, 0U);
+    EXPECT_EQ(plain.duplicateOf, std::nullopt);
+    EXPECT_EQ(request("INBOUND 3 55 read - - - - 12 - 0 - - 0").duplicateOf, std::nullopt);
     EXPECT_EQ(request("INBOUND 3 55 read 0 - 0 - 12 - 0 - - -").tenant, -1);
     EXPECT_FALSE(request("INBOUND 3 55 read 0 - 0 - 12 - 0 - - -").deadline);
     EXPECT_FALSE(request("INBOUND 3 55 read - - - 12000 12 - 2 - - -").expectedWork);  // the flag is not set
--- a/tests/state/idempotency_keys_test.cpp
+++ b/tests/state/idempotency_keys_test.cpp
@@ -73,7 +73,7 @@
     EXPECT_EQ(keys.claim("z", {100, 7, 11s, 11s}, kRetention), KeyClaim::NoCapacity);
     // Keys whose run has ended expire, those whose run is pending do not.
     EXPECT_EQ(keys.claim("z", {100, 7, 60s, 60s}, kRetention), KeyClaim::Granted);
-    EXPECT_EQ(keys.holder("a"), 0U);
+    EXPECT_EQ(keys.holder("a"), std::nullopt);
     EXPECT_EQ(keys.holder("k2"), 2U);
 }
 
--- a/tests/support/reference_model.h
+++ b/tests/support/reference_model.h
@@ -199,7 +199,7 @@
     void retainKey(RequestId id, Duration lifetime) override { retainedKeys[id] = now + lifetime; }
     void releaseKey(RequestId id) override { retainedKeys.erase(id); }
     void joinDuplicate(RequestId id) override {
-        check(requests.at(id).request.duplicateOf != 0U, "joined to no earlier attempt");
+        check(requests.at(id).request.duplicateOf.has_value(), "joined to no earlier attempt");
         requests.at(id).state = RequestState::JoinedDuplicate;
     }
     void setHealth(bool) override {}
@@ -215,7 +215,7 @@
         return config.requestClasses[tracked.request.requestClass].idempotency;
     }
     static RequestId firstAttempt(const TrackedRequest& tracked) {
-        return tracked.request.duplicateOf != 0 ? tracked.request.duplicateOf : tracked.request.id;
+        return tracked.request.duplicateOf.value_or(tracked.request.id);
     }
 
     /// The run has come to its next call while its last one was repeated: the repetition is abandoned.
