--- a/tests/overload/controller_test.cpp
+++ b/tests/overload/controller_test.cpp
@@ -533,6 +533,25 @@
     }
 }
 
+TEST(ControllerCalls, ACallIsNotRepeatedWithoutRetryBudget) {
+    ControllerHarness harness(plainControllerConfig());
+    RequestId id = 1;
+    for (int failures = 0; failures < 5; ++failures) {  // half of the ten tokens
+        reachDependencyCall(harness, id, 2);
+        completeCall(harness, id++, Outcome::Error);
+        reachDependencyCall(harness, id, 2);  // keeps the circuit breaker closed
+        completeCall(harness, id++, Outcome::Ok);
+    }
+    for (int n = 0; n < 20 && harness.calls < 10; ++n) harness.step();
+    reachPossibleWait(harness, id, 0);
+    const int callsBefore = harness.calls;
+    for (int n = 0; n < 10; ++n) harness.step();
+    EXPECT_EQ(harness.calls, callsBefore);
+    EXPECT_EQ(harness.failures, 0);
+    completeRun(harness, id);
+    EXPECT_EQ(harness.failures, 0);
+}
+
 // Before a class has completed a run, a run of it is expected to take a sixth of its latency objective (2 s).
 TEST(ControllerCalls, ARequestWithoutProgressThatPossiblyWaitsFailsAfterThreeExpectedDurations) {
     for (const int requestClass : {0, 1, 2}) {
