The delivery of a continuation is a class of its own

Change: src/request/run_continuation holds the reply and makes all changes of its delivery; no change of behaviour.

--- a/src/request/request_manager.cpp
+++ b/src/request/request_manager.cpp
@@ -200,14 +200,13 @@
 }
 
 void RequestManager::markUnconfirmed(TrackedRequest& request) {
-    if (request.run == RunState::Running && !mayRunTwice(request) && mayBeLost(request.runStartedAt)) {
+    const bool startMayBeLost = request.runStartedAt > messagesReceivedUntil_;
+    if (request.run == RunState::Running && !mayRunTwice(request) && startMayBeLost) {
         request.run = RunState::StartUnconfirmed;
         ++unconfirmedStartCount_;
     }
-    std::optional<RunContinuation>& last = request.continuation;
-    if (!last || last->delivery != Delivery::Sent || !mayBeLost(last->sentAt)) return;
-    last->delivery = Delivery::Unconfirmed;
-    counters_.add(Count::ContinuationsUnconfirmed);
+    if (request.continuation && request.continuation->recordConnectionLoss(messagesReceivedUntil_))
+        counters_.add(Count::ContinuationsUnconfirmed);
 }
 
 // Also restarts runs whose clients no longer wait: a request is removed from the table only when the executor
@@ -235,7 +234,7 @@
 // it has received its continuation, it goes on, and otherwise the controller fails the request.
 void RequestManager::resumeContinuation(RequestId id, TrackedRequest& request) {
     if (!request.continuation) return;
-    switch (request.continuation->delivery) {
+    switch (request.continuation->delivery()) {
         case Delivery::NotSent:
             return sendContinuation(request);
         case Delivery::Sent:
@@ -254,7 +253,7 @@
     const auto entry = findRunningAndWaiting(id);
     if (entry == table_.end()) return;
     const std::optional<RunContinuation>& last = entry->second.continuation;
-    if (!last || last->delivery != Delivery::AwaitingReports) return;
+    if (!last || last->delivery() != Delivery::AwaitingReports) return;
     counters_.add(Count::ContinuationsResent);
     sendContinuation(entry->second);
 }
@@ -301,21 +300,20 @@
 
 void RequestManager::handleReply(TrackedRequest& request, RequestId id, std::string_view reply) {
     if (!request.isContinuationUnconfirmed()) return continueRun(request, std::string(reply));
-    request.continuation = RunContinuation{std::string(reply), Delivery::AwaitingReports, {}};
+    request.continuation->recordRepeatedCall(std::string(reply));
     executor_->confirmReports(id);
 }
 
 void RequestManager::continueRun(TrackedRequest& request, std::optional<std::string> reply) {
-    request.continuation = RunContinuation{std::move(reply), Delivery::NotSent, {}};
+    request.continuation.emplace(std::move(reply));
     sendContinuation(request);
 }
 
 void RequestManager::sendContinuation(TrackedRequest& request) {
     RunContinuation& continuation = *request.continuation;
-    const bool sent = continuation.reply ? executor_->supplyReply(request.externalId, *continuation.reply)
-                                         : executor_->skipDependencyCall(request.externalId);
-    continuation.delivery = sent ? Delivery::Sent : Delivery::NotSent;
-    continuation.sentAt = net::unixNow();
+    const bool sent = continuation.reply() ? executor_->supplyReply(request.externalId, *continuation.reply())
+                                           : executor_->skipDependencyCall(request.externalId);
+    continuation.recordSend(sent, net::unixNow());
 }
 
 // ---- Control --------------------------------------------------------------------------------------------
--- a/src/request/request_manager.h
+++ b/src/request/request_manager.h
@@ -168,7 +168,6 @@
     void sendContinuation(TrackedRequest& request);
     void continueRun(TrackedRequest& request, std::optional<std::string> reply);
     void handleReply(TrackedRequest& request, RequestId id, std::string_view reply);
-    bool mayBeLost(Timestamp sentAt) const { return sentAt > messagesReceivedUntil_; }
 
     // Answers and removal.
     void answerCompleted(Table::iterator entry, std::string_view result);
--- a/src/request/request_state.h
+++ b/src/request/request_state.h
@@ -19,6 +19,7 @@
 #include "request/incoming_request.h"
 #include "request/payload_format.h"
 #include "request/response_sink.h"
+#include "request/run_continuation.h"
 
 namespace cottonwing::request {
 
@@ -52,28 +53,6 @@
     DuplicateWaiting  ///< Waits for the end of the attempt that holds the key.
 };
 
-/// What is known about the delivery of a continuation to its run.
-enum class Delivery {
-    /// There was no connection: the run has certainly not received it, and waits for it.
-    NotSent,
-    /// Sent. It arrives, unless the connection is lost shortly afterwards.
-    Sent,
-    /// The connection was lost shortly after it was sent. It must not be sent again, because whether the run
-    /// still waits for it is unknown.
-    Unconfirmed,
-    /// The dependency has carried out the call once more, which it does only while the run waits for it. The
-    /// new reply is sent once all reports that the executor had made by then are read, as one of them may say
-    /// that the run waits for its next call.
-    AwaitingReports
-};
-
-/// What lets a run continue after it asked for its dependency call.
-struct RunContinuation {
-    std::optional<std::string> reply;  ///< Body of the reply; absent: the call was skipped.
-    Delivery delivery = Delivery::NotSent;
-    Timestamp sentAt{0};
-};
-
 /// One request in the table of the RequestManager.
 struct TrackedRequest {
     std::string externalId;
@@ -105,9 +84,7 @@
     bool isRunInProgress() const;
     bool isDependencyCallInProgress() const { return dependencyCall == CallProgress::InProgress; }
     /// Whether its run may or may not have received the continuation that was sent to it.
-    bool isContinuationUnconfirmed() const {
-        return continuation && continuation->delivery == Delivery::Unconfirmed;
-    }
+    bool isContinuationUnconfirmed() const { return continuation && continuation->isUnconfirmed(); }
     /// Whether no answer is due and no run is in progress.
     bool isFinished() const { return !isClientWaiting() && !isRunInProgress(); }
 
