A call whose reply may be lost is repeated without asking the retry budget

Cause: let the retry budget decide whether a call is repeated to prove that its run waits. Change: taken back; the call before has succeeded, so it is no retry of a failure. Retries of the repetition need the budget.

--- a/src/overload/call_scheduling.cpp
+++ b/src/overload/call_scheduling.cpp
@@ -32,7 +32,7 @@
     if (request == nullptr || !request->answerPending()) return;
     if (request->phase == RequestPhase::OnCores) context_.requests.presumeWaiting(*request, context_.now);
     if (request->phase != RequestPhase::PossiblyWaiting) return;
-    if (context_.dependency.mayRepeat(context_.classOf(*request).idempotency))
+    if (isRepeatable(context_.classOf(*request).idempotency))
         context_.requests.repeatEndedCall(*request, context_.now);
     else
         limitPossibleWait(*request);
--- a/src/overload/dependency_calls.cpp
+++ b/src/overload/dependency_calls.cpp
@@ -53,10 +53,6 @@
            retryBudget_.allowsRetry();
 }
 
-bool DependencyCalls::mayRepeat(Idempotency idempotency) const {
-    return isRepeatable(idempotency) && retryBudget_.allowsRetry();
-}
-
 Duration DependencyCalls::backoff(int attempts, RandomSource& random) const {
     return retryBackoff(attempts, attemptTimeout_.value(), random.uniform());
 }
--- a/src/overload/dependency_calls.h
+++ b/src/overload/dependency_calls.h
@@ -42,10 +42,6 @@
     /// @return whether class, outcome, number of attempts and budget allow a retry.
     bool shouldRetry(const FailedAttempt& attempt) const;
 
-    /// @return whether class and budget allow a call that has ended to be repeated, to learn whether its run
-    /// still waits for it.
-    bool mayRepeat(Idempotency idempotency) const;
-
     /// @return the backoff before the next attempt, with full jitter.
     /// @param attempts made so far.
     Duration backoff(int attempts, RandomSource& random) const;
