--- a/tests/request/request_manager_test.cpp
+++ b/tests/request/request_manager_test.cpp
@@ -127,6 +127,15 @@
     void complete(RequestId id, Outcome outcome = Outcome::Ok, std::string_view result = "result") {
         manager.runCompleted(id, outcome, 5ms, result);
     }
+    // Starts a run and supplies it with the reply to its dependency call.
+    void supplyReply(RequestId id, int requestClass, const std::string& callBody,
+                     const std::string& key = "") {
+        acceptAndStart(id, requestClass, key);
+        manager.runWaitsForDependency(id, callBody);
+        manager.processEvents();
+        manager.dependencyCallCompleted(id, Outcome::Ok, 5ms, "reply");
+        manager.processEvents();
+    }
     void loseAndRestoreConnection() {
         manager.executorConnectionLost();
         manager.resumeRuns();
@@ -286,11 +295,7 @@
     becomeReady();
     for (const int requestClass : {kNonIdempotentClass, kKeyedClass}) {
         const auto id = static_cast<RequestId>(requestClass);
-        acceptAndStart(id, requestClass, requestClass == kKeyedClass ? "key" : "");
-        manager.runWaitsForDependency(id, "call");
-        manager.processEvents();
-        manager.dependencyCallCompleted(id, Outcome::Ok, 5ms, "reply");
-        manager.processEvents();
+        supplyReply(id, requestClass, "call", requestClass == kKeyedClass ? "key" : "");
     }
     executor.sent.clear();
     dependencyClient.started.clear();
@@ -305,11 +310,7 @@
 
 TEST_F(RequestManagerTest, RepeatsTheCallOfAnIdempotentRunToLearnWhetherItStillWaits) {
     becomeReady();
-    acceptAndStart(1, kIdempotentClass);
-    manager.runWaitsForDependency(1, "call");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kIdempotentClass, "call");
     executor.sent.clear();
     dependencyClient.started.clear();
     loseAndRestoreConnection();
@@ -327,11 +328,7 @@
 
 TEST_F(RequestManagerTest, SuppliesARepeatedReplyAlthoughTheConnectionIsLostAgain) {
     becomeReady();
-    acceptAndStart(1, kIdempotentClass);
-    manager.runWaitsForDependency(1, "call");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kIdempotentClass, "call");
     loseAndRestoreConnection();
     manager.processEvents();
     manager.executorConnectionLost();
@@ -346,11 +343,7 @@
 
 TEST_F(RequestManagerTest, DropsARepeatedReplyIfTheRunHasReceivedTheFirstOne) {
     becomeReady();
-    acceptAndStart(1, kIdempotentClass);
-    manager.runWaitsForDependency(1, "first");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kIdempotentClass, "first");
     loseAndRestoreConnection();
     manager.processEvents();
     manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "second reply");
@@ -364,11 +357,7 @@
 
 TEST_F(RequestManagerTest, AbandonsARepeatedCallOnceTheRunWaitsForItsNextCall) {
     becomeReady();
-    acceptAndStart(1, kIdempotentClass);
-    manager.runWaitsForDependency(1, "first");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kIdempotentClass, "first");
     loseAndRestoreConnection();
     manager.processEvents();
     EXPECT_EQ(dependencyClient.started[1], "first");
@@ -380,11 +369,7 @@
 
 TEST_F(RequestManagerTest, ARunThatTheDependencyReportsNotToWaitGoesOn) {
     becomeReady();
-    acceptAndStart(1, kIdempotentClass);
-    manager.runWaitsForDependency(1, "first");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kIdempotentClass, "first");
     loseAndRestoreConnection();
     manager.processEvents();
     manager.dependencyCallCompleted(1, Outcome::Superseded, 5ms, "");
@@ -412,11 +397,7 @@
 
 TEST_F(RequestManagerTest, DoesNotRepeatAReplyOnceTheRunWaitsForItsNextCall) {
     becomeReady();
-    acceptAndStart(1, kNonIdempotentClass);
-    manager.runWaitsForDependency(1, "first");
-    manager.processEvents();
-    manager.dependencyCallCompleted(1, Outcome::Ok, 5ms, "reply");
-    manager.processEvents();
+    supplyReply(1, kNonIdempotentClass, "first");
     manager.runWaitsForDependency(1, "second");
     executor.sent.clear();
     loseAndRestoreConnection();
