Soak of restarts: an exit in time isn't failed for the work of the sanitizer after it

Cause: after the program's own end the sanitizer looks for leaks and unmaps its memory, and the soak counted that as the program. Change: in a build with the address sanitizer the program has ended in time when the process holds no socket at the end of stop_ms. The process itself must then end within 10 s, where it was killed before and a leak it was about to report was lost. In a build without the sanitizer the check is unchanged.

--- a/tests/soak/observations.h
+++ b/tests/soak/observations.h
@@ -81,6 +81,8 @@
     std::optional<Duration> killedAt;      ///< when SIGKILL was sent to the running process
     std::optional<Duration> endedAt;
     bool killedWithoutNotice = false;  ///< by SIGKILL without SIGTERM before
+    /// The process held no socket any more at the end of the shutdown timeout; its sanitizer took longer.
+    bool awaitedSanitizer = false;
     int exitCode = 0;
     int exitSignal = 0;
     double peakMemoryMb = 0;
--- a/tests/soak/restart_soak_test.cpp
+++ b/tests/soak/restart_soak_test.cpp
@@ -39,10 +39,11 @@
 
 void printSummary(const SoakPlan& plan, const SoakRun& run) {
     const Observations& observations = run.recorder().observations;
-    std::size_t kills = 0, written = 0;
+    std::size_t kills = 0, written = 0, sanitizerExits = 0;
     Duration slowestStart{0};
     for (const Incarnation& incarnation : observations.incarnations) {
         kills += incarnation.killedWithoutNotice ? 1 : 0;
+        sanitizerExits += incarnation.awaitedSanitizer ? 1 : 0;
         if (incarnation.readyAt && incarnation.poolUpAt)
             slowestStart = std::max(
                 slowestStart, *incarnation.readyAt - std::max(incarnation.startedAt, *incarnation.poolUpAt));
@@ -50,7 +51,8 @@
     for (const Attempt& attempt : observations.attempts) written += attempt.writtenAt ? 1 : 0;
     std::cout << "soak seed=" << plan.seed << " requests=" << written << " runs=" << observations.runs.size()
               << " restarts=" << observations.incarnations.size() - 1 << " signals=" << run.signalsSent()
-              << " kills=" << kills << " overload=" << (plan.overload ? 1 : 0)
+              << " kills=" << kills << " sanitizer_exits=" << sanitizerExits
+              << " overload=" << (plan.overload ? 1 : 0)
               << " slowest_start_ms=" << slowestStart / std::chrono::milliseconds(1) << std::endl;
 }
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -30,6 +30,12 @@
 constexpr Duration kRestartDelay = 20ms;  // between two incarnations
 constexpr int kMemoryMb = 192;            // DEPLOY.md: the maximum on scored days
 constexpr double kPoolMemoryKb = 8000;
+// The sanitizer works in the process after the program's own end: it looks for leaks and releases its memory.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr Duration kSanitizerExitTimeout = 10s;
+#else
+constexpr Duration kSanitizerExitTimeout = 0s;
+#endif
 
 WorkerPoolSettings poolSettings(const SoakPlan& plan) {
     WorkerPoolSettings settings;
@@ -58,11 +64,22 @@
 
 std::string toText(const net::Address& address) { return address.host + ":" + std::to_string(address.port); }
 
-std::size_t countDescriptors(int process) {
+std::filesystem::directory_iterator descriptorsOf(int process) {
     std::error_code error;
-    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(process) + "/fd", error);
-    if (error) return 0;
-    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+    return std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/fd", error);
+}
+
+std::size_t countDescriptors(int process) {
+    const std::filesystem::directory_iterator descriptors = descriptorsOf(process);
+    return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
+bool holdsSockets(int process) {
+    const std::filesystem::directory_iterator descriptors = descriptorsOf(process);
+    return std::any_of(begin(descriptors), end(descriptors), [](const auto& descriptor) {
+        std::error_code error;
+        return std::filesystem::read_symlink(descriptor, error).string().starts_with("socket:");
+    });
 }
 
 // Evaluates the line of counters that the server prints at exit.
@@ -240,12 +257,24 @@
         const Duration since = *recorder_.current().terminatedAt, now = net::unixNow();
         const Duration left = plan_.shutdownTimeout - (now - since - pausedSince(since));
         if (pausedAt_ || left > 0ns) return scheduleKill(std::max<Duration>(left, kTick));
-        recorder_.current().killedAt = now;
-        recorder_.log("process", "SIGKILL");
-        process_->sendSignal(SIGKILL);
+        if (kSanitizerExitTimeout > 0ns && !holdsSockets(process_->pid())) return awaitSanitizerExit();
+        kill();
     });
 }
 
+// The program has ended in time when it holds no socket any more: its exit closes them after its last answer.
+void SoakRun::awaitSanitizerExit() {
+    recorder_.current().awaitedSanitizer = true;
+    recorder_.log("process", "holds no socket; the sanitizer is at work");
+    scheduleWhileRunning(net::unixNow() + kSanitizerExitTimeout, [this] { kill(); });
+}
+
+void SoakRun::kill() {
+    recorder_.current().killedAt = net::unixNow();
+    recorder_.log("process", "SIGKILL");
+    process_->sendSignal(SIGKILL);
+}
+
 Duration SoakRun::pausedSince(Duration from) const {
     Duration sum{0};
     for (const MachinePause& pause : recorder_.observations.pauses)
@@ -272,9 +301,8 @@
 
 void SoakRun::killWithoutNotice() {
     recorder_.current().killedWithoutNotice = true;
-    recorder_.current().killedAt = net::unixNow();
-    recorder_.log("process", "SIGKILL without notice");
-    process_->sendSignal(SIGKILL);
+    recorder_.log("process", "without notice:");
+    kill();
     endPause();
 }
 
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -44,6 +44,8 @@
     void scheduleEnd(Duration from);
     void sendSignal(const PlannedSignal& planned);
     void scheduleKill(Duration unpaused);
+    void awaitSanitizerExit();
+    void kill();
     void endPause();
     void pauseProcess(Duration length);
     void killWithoutNotice();
