Each dependency call has a connection of its own, which no late copy of a response meets

What callers saw: a result made of another request's reply, after a second copy of a reply of the records service had come late. Cause: a connection was used again 5 ms after its last response, and the next bytes on it were taken for the response to the new call. A response names no call, and the protocol sets no time after which no copy can come; the delay made the fault rarer. Change: a connection is used for one call and reset with its response (net::Connection::closeWithReset: no local port is kept in TIME_WAIT). The list of idle connections, their delay and time limit and the resending of unwritten calls are gone. Why it works: bytes that come later meet no connection, whatever the gap.

--- a/src/dependency/http_dependency_client.cpp
+++ b/src/dependency/http_dependency_client.cpp
@@ -13,12 +13,6 @@
 
 constexpr std::size_t kInputBufferBytes = 128 << 10;
 constexpr std::size_t kOutputBufferBytes = 32 << 10;
-// The dependency closes connections after 10 s without use. They are closed here before that, so that no call
-// is sent on a connection that is being closed.
-constexpr Duration kMaxIdleTime = 4s;
-// Time after a reply until its connection is reused. A duplicate of the reply may follow in pieces, and must
-// not be taken for the reply to the next call.
-constexpr Duration kReuseDelay = 5ms;
 
 Count counterOf(Outcome outcome) {
     switch (outcome) {
@@ -54,19 +48,13 @@
     Timestamp deadline{0};  ///< Of this attempt; unchanged when the call is resent.
 };
 
-struct HttpDependencyClient::PooledConnection : private net::ConnectionHandler {
-    enum class State {
-        Busy,
-        Idle,
-        Discarded  ///< To be closed in the next iteration of the loop.
-    };
-
-    explicit PooledConnection(HttpDependencyClient& owner)
+struct HttpDependencyClient::CallConnection : private net::ConnectionHandler {
+    CallConnection(HttpDependencyClient& owner, const Call& callToMake)
         : client(owner),
+          call(callToMake),
           timeoutTimer(owner.loop_, [this] { handleTimeout(); }),
-          replyParser([this](net::HttpResponseParser::Response&& reply) {
-              client.handleReply(*this, std::move(reply));
-          }),
+          responseParser(
+              [this](net::HttpResponseParser::Response&& received) { response = std::move(received); }),
           connection(owner.loop_, *owner.address_, *this,
                      {kInputBufferBytes, kOutputBufferBytes, owner.bufferBytes_}) {}
 
@@ -75,13 +63,15 @@
             *this, connection.isOpen() ? net::ConnectionEnd::TimedOut : net::ConnectionEnd::ConnectTimedOut);
     }
 
+    // What follows the response is not read: the connection is closed with it.
     void arrived(net::Connection& from) override {
         net::ByteRing& input = from.input();
         while (!input.empty()) {
             const std::string piece(input.front());
             input.drop(piece.size());
-            if (state != State::Busy || !replyParser.parse(piece))
-                return client.handleConnectionEnd(*this, net::ConnectionEnd::Malformed);
+            const bool wellFormed = responseParser.parse(piece);
+            if (response) return client.completeCall(*this);
+            if (!wellFormed) return client.handleConnectionEnd(*this, net::ConnectionEnd::Malformed);
         }
     }
 
@@ -90,16 +80,14 @@
     }
 
     HttpDependencyClient& client;
+    const Call call;
     net::Timer timeoutTimer;
-    net::HttpResponseParser replyParser;
+    net::HttpResponseParser responseParser;
+    std::optional<net::HttpResponseParser::Response> response;  // set once it is complete
     net::Connection connection;
     ConnectionList::iterator position;
-    State state = State::Busy;
-    Timestamp idleSince{0};
-    bool addressOutdated = false;  // connected to an address that is no longer configured
-    Call call;                     // the last one
     std::size_t callBytes = 0;     // size of the formatted call
-    bool reusedForCall = false;    // the call was sent on a connection that had been idle
+    bool addressOutdated = false;  // connected to an address that is no longer configured
 };
 
 HttpDependencyClient::HttpDependencyClient(net::Loop& loop, std::optional<net::Address> address,
@@ -110,8 +98,7 @@
       maxConnections_(limits.dependencyConnections),
       bufferBytes_(std::make_shared<net::MemoryBudget>(net::MemoryBudget{limits.dependencyBytes})),
       requests_(requests),
-      counters_(counters),
-      closeIdleTimer_(loop, [this] { closeIdleConnections(); }) {}
+      counters_(counters) {}
 
 HttpDependencyClient::~HttpDependencyClient() = default;
 
@@ -122,48 +109,16 @@
     abandonCall(id);
     counters_.add(Count::CallsStarted);
     if (!address_) return report(id, Outcome::Unreachable, 0ns, {});
-    const auto reusable = findReusable();
-    const bool reused = reusable != idle_.end();
-    if (!reused && isAtConnectionLimit()) {
-        if (idle_.empty()) return report(id, Outcome::LocalLimit, 0ns, {});
-        idle_.pop_front();  // not reusable yet, or to be closed
-    }
-    const std::string request = formatCall(externalId, timeout, body);
-    if (reused) busy_.splice(busy_.end(), idle_, reusable);
-    const auto position = reused ? std::prev(busy_.end()) : openConnection();
-    (*position)->reusedForCall = reused;
+    if (connections_.size() >= maxConnections_) return report(id, Outcome::LocalLimit, 0ns, {});
     const Timestamp now = net::unixNow();
-    send(position, {id, now, now + timeout}, request);
-}
-
-// The most recently used idle connection whose reuse delay has passed; idle_.end() if there is none.
-HttpDependencyClient::ConnectionList::iterator HttpDependencyClient::findReusable() {
-    const Timestamp now = net::unixNow();
-    for (auto position = idle_.end(); position != idle_.begin();) {
-        --position;
-        const PooledConnection& connection = **position;
-        // All connections in front of it are discarded as well.
-        if (connection.state == PooledConnection::State::Discarded) return idle_.end();
-        if (now - connection.idleSince >= kReuseDelay) return position;
-    }
-    return idle_.end();
-}
-
-bool HttpDependencyClient::isAtConnectionLimit() const {
-    return busy_.size() + idle_.size() >= maxConnections_;
-}
-
-HttpDependencyClient::ConnectionList::iterator HttpDependencyClient::openConnection() {
-    busy_.push_back(std::make_unique<PooledConnection>(*this));
-    return std::prev(busy_.end());
+    send({id, now, now + timeout}, formatCall(externalId, timeout, body));
 }
 
-void HttpDependencyClient::send(ConnectionList::iterator position, const Call& call,
-                                const std::string& request) {
-    PooledConnection& connection = **position;
+void HttpDependencyClient::send(const Call& call, const std::string& request) {
+    const auto position =
+        connections_.insert(connections_.end(), std::make_unique<CallConnection>(*this, call));
+    CallConnection& connection = **position;
     connection.position = position;
-    connection.state = PooledConnection::State::Busy;
-    connection.call = call;
     connection.callBytes = request.size();
     callsInFlight_[call.id] = position;
     connection.timeoutTimer.start(call.deadline - net::unixNow());
@@ -177,28 +132,16 @@
     counters_.add(Count::CallsAbandoned);
     counters_.addEnd(net::ConnectionEnd::Abandoned);
     callsInFlight_.erase(found);
-    busy_.erase(position);
+    connections_.erase(position);
 }
 
-void HttpDependencyClient::handleReply(PooledConnection& connection,
-                                       net::HttpResponseParser::Response&& reply) {
+void HttpDependencyClient::completeCall(CallConnection& connection) {
     const Call call = connection.call;
-    const Duration elapsed = net::unixNow() - call.startedAt;
-    connection.timeoutTimer.stop();
+    const net::HttpResponseParser::Response response = std::move(*connection.response);
+    connection.connection.closeWithReset();
     callsInFlight_.erase(call.id);
-    if (reply.keepAlive && !connection.addressOutdated) {
-        connection.state = PooledConnection::State::Idle;
-        connection.idleSince = net::unixNow();
-        if (idle_.empty()) closeIdleTimer_.start(kMaxIdleTime);
-        idle_.splice(idle_.end(), busy_, connection.position);
-    } else {
-        // Not destroyed here, because it is the caller of this function; closed in the next iteration of the
-        // loop.
-        connection.state = PooledConnection::State::Discarded;
-        closeIdleTimer_.start(0ns);
-        idle_.splice(idle_.begin(), busy_, connection.position);
-    }
-    report(call.id, outcomeOf(reply), elapsed, reply.body);
+    connections_.erase(connection.position);
+    report(call.id, outcomeOf(response), net::unixNow() - call.startedAt, response.body);
 }
 
 void HttpDependencyClient::report(RequestId id, Outcome outcome, Duration elapsed, std::string_view reply) {
@@ -208,56 +151,32 @@
 
 // ---- Connections ----------------------------------------------------------------------------------------
 
-void HttpDependencyClient::handleConnectionEnd(PooledConnection& connection, net::ConnectionEnd end) {
+void HttpDependencyClient::handleConnectionEnd(CallConnection& connection, net::ConnectionEnd end) {
     counters_.addEnd(end);
-    if (connection.state != PooledConnection::State::Busy) {
-        idle_.erase(connection.position);
-        return;
-    }
     if (isSafeToResend(connection, end)) return resend(connection);
     const Call call = connection.call;
-    const Duration elapsed = net::unixNow() - call.startedAt;
     callsInFlight_.erase(call.id);
-    busy_.erase(connection.position);
-    report(call.id, net::outcomeOf(end), elapsed, {});
+    connections_.erase(connection.position);
+    report(call.id, net::outcomeOf(end), net::unixNow() - call.startedAt, {});
 }
 
-// The call has not begun if no byte of it was written and either the reused connection was closed while idle,
-// or the connection was refused by an address that is no longer configured.
-bool HttpDependencyClient::isSafeToResend(const PooledConnection& connection, net::ConnectionEnd end) {
-    const bool nothingWritten = connection.connection.output().size() == connection.callBytes;
-    const bool closedWhileIdle = connection.reusedForCall &&
-                                 (end == net::ConnectionEnd::Reset || end == net::ConnectionEnd::PeerClosed);
-    const bool refusedByOldAddress = connection.addressOutdated && end == net::ConnectionEnd::ConnectRefused;
-    return nothingWritten && (closedWhileIdle || refusedByOldAddress);
+// A refused connection proves that the call has not begun.
+bool HttpDependencyClient::isSafeToResend(const CallConnection& connection, net::ConnectionEnd end) {
+    return connection.addressOutdated && end == net::ConnectionEnd::ConnectRefused;
 }
 
-void HttpDependencyClient::resend(PooledConnection& connection) {
+void HttpDependencyClient::resend(CallConnection& connection) {
     std::string scratch;
     const std::string request(connection.connection.output().peek(connection.callBytes, scratch));
     const Call call = connection.call;
-    busy_.erase(connection.position);
-    send(openConnection(), call, request);
+    connections_.erase(connection.position);
+    send(call, request);
 }
 
 void HttpDependencyClient::changeAddress(std::optional<net::Address> address) {
     if (!address) return;
     address_ = std::move(address);
-    idle_.clear();
-    for (const auto& connection : busy_) connection->addressOutdated = true;
-}
-
-void HttpDependencyClient::closeIdleConnections() {
-    const Timestamp now = net::unixNow();
-    const auto isUnused = [now](const PooledConnection& connection) {
-        return connection.state == PooledConnection::State::Discarded ||
-               now - connection.idleSince >= kMaxIdleTime;
-    };
-    while (!idle_.empty() && isUnused(*idle_.front())) {
-        counters_.addEnd(net::ConnectionEnd::Unused);
-        idle_.pop_front();
-    }
-    if (!idle_.empty()) closeIdleTimer_.start(idle_.front()->idleSince + kMaxIdleTime - now);
+    for (const auto& connection : connections_) connection->addressOutdated = true;
 }
 
 }  // namespace cottonwing::dependency
--- a/src/dependency/http_dependency_client.h
+++ b/src/dependency/http_dependency_client.h
@@ -1,5 +1,5 @@
 /// @file
-/// The HTTP client of the dependency: one call at a time per connection, with a pool of reusable connections.
+/// The HTTP client of the dependency: each call has a connection of its own.
 #pragma once
 
 #include <list>
@@ -16,9 +16,12 @@
 namespace cottonwing::dependency {
 
 /// Makes dependency calls. Each started call results in exactly one report to
-/// RequestManager::dependencyCallCompleted, unless it is abandoned. A call that fails on a reused connection
-/// before any of it was sent is resent on a new one, as is one refused by an address that is no longer
-/// configured; no other call is retried here. Not thread-safe.
+/// RequestManager::dependencyCallCompleted, unless it is abandoned. A call that is refused by an address that
+/// is no longer configured is sent to the current one; no other call is retried here. Not thread-safe.
+///
+/// A connection is used for one call. A response does not say to which call it belongs, and bytes of an
+/// earlier response, such as a second copy of it, may arrive at any later time: on a connection that is
+/// reused they would be taken for the response to the next call.
 class HttpDependencyClient : public request::DependencyClient {
 public:
     /// @param address of the dependency; without one each call ends as unreachable.
@@ -32,29 +35,23 @@
     void startCall(RequestId id, const std::string& externalId, Duration timeout,
                    std::string_view body) override;
     void abandonCall(RequestId id) override;
-    /// Sends new calls to another address. Calls in flight may complete on their current connections; idle
-    /// connections are closed.
+    /// Sends new calls to another address. Calls in flight may complete on their current connections.
     /// @param address ignored if absent, because calls in flight may have to be resent and need an address.
     void changeAddress(std::optional<net::Address> address);
 
     std::size_t callsInFlight() const { return callsInFlight_.size(); }
-    std::size_t idleConnections() const { return idle_.size(); }
 
 private:
     struct Call;
-    struct PooledConnection;
-    using ConnectionList = std::list<std::unique_ptr<PooledConnection>>;
+    struct CallConnection;
+    using ConnectionList = std::list<std::unique_ptr<CallConnection>>;
 
-    ConnectionList::iterator findReusable();
-    bool isAtConnectionLimit() const;
-    ConnectionList::iterator openConnection();
-    void send(ConnectionList::iterator position, const Call& call, const std::string& request);
-    void handleReply(PooledConnection& connection, net::HttpResponseParser::Response&& reply);
-    void handleConnectionEnd(PooledConnection& connection, net::ConnectionEnd end);
-    static bool isSafeToResend(const PooledConnection& connection, net::ConnectionEnd end);
-    void resend(PooledConnection& connection);
+    void send(const Call& call, const std::string& request);
+    void completeCall(CallConnection& connection);
+    void handleConnectionEnd(CallConnection& connection, net::ConnectionEnd end);
+    static bool isSafeToResend(const CallConnection& connection, net::ConnectionEnd end);
+    void resend(CallConnection& connection);
     void report(RequestId id, Outcome outcome, Duration elapsed, std::string_view reply);
-    void closeIdleConnections();
 
     net::Loop& loop_;
     std::optional<net::Address> address_;
@@ -62,12 +59,8 @@
     const std::shared_ptr<net::MemoryBudget> bufferBytes_;  // shared by the buffers of all connections
     request::RequestManager& requests_;
     telemetry::Counters& counters_;
-    net::Timer closeIdleTimer_;
-    std::unordered_map<RequestId, ConnectionList::iterator> callsInFlight_;  // erased at call end
-    ConnectionList busy_;
-    // In the order in which they became idle, preceded by the discarded ones. Removed on reuse, on timeout,
-    // or when the peer closes them.
-    ConnectionList idle_;
+    ConnectionList connections_;  // one for each call in flight
+    std::unordered_map<RequestId, ConnectionList::iterator> callsInFlight_;
 };
 
 }  // namespace cottonwing::dependency
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -249,19 +249,31 @@
 }
 
 void Channel::close() {
-    if (state_ == State::Closed) return;
+    if (beginClose()) uv_close(asHandle(tcp_), &Channel::onClosed);
+}
+
+void Channel::closeWithReset() {
+    if (!beginClose()) return;
+    // Fails, for example, on a socket that does not support the option; the close must not.
+    if (uv_tcp_close_reset(&tcp_, &Channel::onClosed) != 0) uv_close(asHandle(tcp_), &Channel::onClosed);
+}
+
+bool Channel::beginClose() {
+    if (state_ == State::Closed) return false;
     const bool isReferencedByLoop = inFlushQueue_ || inReadQueue_ || state_ == State::Closing;
     state_ = State::Closed;
     connection_ = nullptr;
     closeTimer_.reset();
     if (isReferencedByLoop) loop_.remove(this);
-    uv_close(asHandle(tcp_), [](uv_handle_t* closed) {
-        auto* self = static_cast<Channel*>(closed->data);
-        const auto onClosed = std::move(self->onClosed_);
-        Loop& loop = self->loop_;
-        delete self;
-        if (onClosed) loop.runGuarded(onClosed);
-    });
+    return true;
+}
+
+void Channel::onClosed(uv_handle_t* closed) {
+    auto* self = static_cast<Channel*>(closed->data);
+    const auto onClosed = std::move(self->onClosed_);
+    Loop& loop = self->loop_;
+    delete self;
+    if (onClosed) loop.runGuarded(onClosed);
 }
 
 void Channel::fail(ConnectionEnd end) {
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -51,6 +51,8 @@
     void closeGracefully(std::function<void()> onClosed);
     /// Closes the handle at once. Idempotent.
     void close();
+    /// Closes at once by a reset (see Connection::closeWithReset()).
+    void closeWithReset();
 
     ByteRing& input() { return input_; }
     const ByteRing& output() const { return output_; }
@@ -80,6 +82,9 @@
     void onWritten(int status);
     void outputWritten();
     void shutdownOutput();
+    /// @return whether the handle has to be closed; false if it already is.
+    bool beginClose();
+    static void onClosed(uv_handle_t* closed);
     void onOutputShutDown(int status);
     void fail(ConnectionEnd end);
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -41,6 +41,8 @@
     std::exchange(channel_, nullptr)->closeGracefully(std::move(done));
 }
 
+void Connection::closeWithReset() { std::exchange(channel_, nullptr)->closeWithReset(); }
+
 bool Connection::isOutputHalfFull() const { return channel_->isOutputHalfFull(); }
 
 bool Connection::isOpen() const { return channel_->isConnected(); }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -90,6 +90,11 @@
     /// @param done called from the loop once the descriptor has been released.
     void closeGracefully(std::function<void()> done);
 
+    /// Closes at once, as the destructor does, but always by a reset: the system forgets the connection and
+    /// its local port can be used again, where a close would keep the port for a minute. After this call the
+    /// object may only be destroyed.
+    void closeWithReset();
+
     /// Whether more than half of the output buffer is in use. While it is, nothing is read.
     bool isOutputHalfFull() const;
 
@@ -98,7 +103,7 @@
 
 private:
     friend class Channel;
-    Channel* channel_;  // deletes itself once it is closed; null after closeGracefully()
+    Channel* channel_;  // deletes itself once it is closed; null after closeGracefully() or closeWithReset()
     ConnectionHandler& handler_;
 };
 
--- a/tests/net/connection_test.cpp
+++ b/tests/net/connection_test.cpp
@@ -73,6 +73,20 @@
     EXPECT_EQ(client.text, "answer");
 }
 
+// Guards against local ports that stay in use for a minute after each connection.
+TEST(Connection, ACloseWithResetIsSeenAsAResetByThePeer) {
+    Loop loop;
+    Server server(loop);
+    Client client(loop, server);
+    client.owned->send("all of it");
+    testing::runUntil(loop, [&] { return server.text == "all of it"; });
+    client.owned->closeWithReset();
+    client.owned.reset();
+    testing::runUntil(loop, [&] { return server.end.has_value(); });
+    EXPECT_EQ(server.end, ConnectionEnd::Reset);
+    EXPECT_FALSE(client.end.has_value());
+}
+
 TEST(Connection, ReportsACloseByThePeer) {
     Loop loop;
     Server server(loop);
