Tests of the three clients stand beside each other as their sources do

Cause: server_test.cpp held the tests of the worker pool's, the dependency's and the registry's client, and the tests of the dependency client had a fixture of their own. Change: they are in tests/worker_pool, tests/dependency and tests/registry; the fixture with one Thrift client is in tests/support. No test or assertion changes.

--- a/tests/dependency/http_dependency_client_test.cpp
+++ b/tests/dependency/http_dependency_client_test.cpp
@@ -13,32 +13,108 @@
 
 #include "support/event_loop_helpers.h"
 #include "support/fake_http_server.h"
-#include "support/plain_config.h"
-#include "support/server_fixture.h"
-#include "support/thrift_frames.h"
-#include "support/thrift_test_client.h"
+#include "support/server_with_client.h"
 
 namespace cottonwing::dependency {
 namespace {
 
 using namespace std::chrono_literals;
+using net::ConnectionEnd;
 using telemetry::Count;
 using testing::FakeHttpServer;
+using testing::Json;
+using testing::kAnyBytes;
+using testing::ServerWithClient;
 using testing::ThriftTestClient;
+namespace frames = testing::frames;
 
 // So long a time after a response that a client might take its connection to be free of further bytes.
 constexpr Duration kPauseBetweenCalls = 20ms;
 
+TEST(DependencyClient, MakesCallsAndPassesTheirResponsesOn) {
+    ServerWithClient fixture;
+    const std::int32_t sequence = fixture.sendRequestWithCall(1, kAnyBytes);
+    fixture.waitUntil(
+        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(1)); });
+    EXPECT_EQ(fixture.pool.dependencyResponses.at(ThriftTestClient::requestId(1)), "re:" + kAnyBytes);
+    EXPECT_EQ(fixture.dependency.requestBodies.at(0), kAnyBytes);
+    EXPECT_EQ(FakeHttpServer::header(fixture.dependency.requestHeads.at(0), "Op-Of"),
+              ThriftTestClient::requestId(1));
+    EXPECT_GT(std::stoi(FakeHttpServer::header(fixture.dependency.requestHeads.at(0), "Op-Wait-Ms")), 100);
+    fixture.pool.block(ThriftTestClient::requestId(1), "second");
+    fixture.waitUntil([&] { return fixture.dependency.requestBodies.size() == 2; });
+    fixture.waitUntil(
+        [&] { return fixture.pool.dependencyResponses.at(ThriftTestClient::requestId(1)) == "re:second"; });
+    EXPECT_EQ(fixture.dependency.server.acceptedCount, 2);  // each call on a connection of its own
+    fixture.finish(1);
+    EXPECT_EQ(fixture.awaitAnswer(sequence).kind, "answer");
+    fixture.expectCountersBalanced();
+}
+
+// Each kind of response and each way in which the connection can end has its own outcome.
+TEST(DependencyClient, EachResponseHasItsOutcome) {
+    const std::string notBegun = "Op-Not-Begun: 1\r\n";
+    const std::vector<std::pair<std::string, Count>> cases = {
+        {FakeHttpServer::reply(503, "", notBegun), Count::CallsResourceExhausted},
+        {FakeHttpServer::reply(503), Count::CallsError},
+        {FakeHttpServer::reply(500), Count::CallsError},
+        {FakeHttpServer::reply(504), Count::CallsTimedOut},
+        {FakeHttpServer::reply(409, "", notBegun), Count::CallsSuperseded},
+        {FakeHttpServer::reply(200, "good") + FakeHttpServer::reply(200, "copy"), Count::CallsOk},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on", Count::CallsMalformedResponse},
+        {"no reply\r\n\r\n", Count::CallsMalformedResponse},
+        {"hang up", Count::CallsConnectionLost}};
+    for (const auto& [reply, kind] : cases) {
+        ServerWithClient fixture;
+        fixture.dependency.handler = [&](net::Connection& from, const std::string&, const std::string&) {
+            if (reply != "hang up") return reply;
+            fixture.closeAfterHandler(from);
+            return std::string();
+        };
+        fixture.sendRequestWithCall(1);
+        fixture.waitUntil([&] { return fixture.count(kind) > 0; });
+    }
+}
+
+TEST(DependencyClient, ACallTimesOutWithoutAnswerAndIsUnreachableWithoutConnection) {
+    Json configFile = testing::plainConfigFile();
+    configFile["settings"]["classes"][0]["aim_us"] = 300000;
+    ServerWithClient fixture(configFile);
+    fixture.dependency.handler = [](net::Connection&, const std::string&, const std::string&) {
+        return std::string();
+    };
+    fixture.sendRequestWithCall(1);
+    fixture.waitUntil([&] { return fixture.count(Count::CallsTimedOut) > 0; });
+    EXPECT_GT(fixture.count(ConnectionEnd::TimedOut), 0U);
+    fixture.dependency.server.stopListening();
+    fixture.sendRequestWithCall(2);
+    fixture.waitUntil([&] { return fixture.count(Count::CallsUnreachable) > 0; });
+    EXPECT_GT(fixture.count(ConnectionEnd::ConnectRefused), 0U);
+}
+
+TEST(DependencyClient, ACancelledRequestAbandonsItsCall) {
+    ServerWithClient fixture;
+    fixture.dependency.handler = [](net::Connection&, const std::string&, const std::string&) {
+        return std::string();
+    };
+    const std::int32_t sequence = fixture.sendRequestWithCall(1);
+    fixture.waitUntil([&] { return !fixture.dependency.requestHeads.empty(); });
+    fixture.client->send(frames::forget(2, sequence));
+    fixture.waitUntil(
+        [&] { return fixture.dependency.server.connections.empty(); });  // its connection was closed
+    EXPECT_EQ(fixture.count(Count::CallsAbandoned), 1U);
+    fixture.finish(1, "halted");
+    fixture.waitUntil([&] { return fixture.server->requestManager().trackedCount() == 0; });
+    fixture.expectCountersBalanced();
+}
+
 // A healthy server with a request whose run makes calls.
 class DependencyConnections : public ::testing::Test {
 protected:
     DependencyConnections() {
-        fixture.waitUntilHealthy();
-        client = std::make_unique<ThriftTestClient>(fixture.loop, fixture.port());
         for (int number = 1; number <= 2; ++number) {
-            client->sendRequest(number);
-            fixture.waitUntil(
-                [&] { return fixture.pool.running.contains(ThriftTestClient::requestId(number)); });
+            fixture.client->sendRequest(number);
+            fixture.awaitRun(number);
         }
     }
 
@@ -58,8 +134,7 @@
     testing::FakeServer& dependencyServer() { return fixture.dependency.server; }
     const HttpDependencyClient& dependencyClient() { return fixture.server->dependencyClient(); }
 
-    testing::ServerFixture fixture;
-    std::unique_ptr<ThriftTestClient> client;
+    ServerWithClient fixture;
 };
 
 // Guards against foreign data: a second copy of a response that arrives late was taken for the response to
--- a/tests/server_test.cpp
+++ b/tests/server_test.cpp
@@ -10,7 +10,7 @@
 #include "support/event_loop_helpers.h"
 #include "support/fake_http_server.h"
 #include "support/plain_config.h"
-#include "support/server_fixture.h"
+#include "support/server_with_client.h"
 #include "support/thrift_frames.h"
 #include "support/thrift_test_client.h"
 
@@ -22,46 +22,12 @@
 using telemetry::Count;
 using testing::FakeHttpServer;
 using testing::Json;
-using testing::runUntil;
+using testing::kAnyBytes;
 using testing::ServerFixture;
+using testing::ServerWithClient;
 using testing::ThriftTestClient;
 namespace frames = testing::frames;
 
-// A healthy server with one Thrift client.
-struct ServerWithClient : ServerFixture {
-    explicit ServerWithClient(Json configFile = testing::plainConfigFile())
-        : ServerFixture(std::move(configFile)) {
-        waitUntilHealthy();
-        client = std::make_unique<ThriftTestClient>(loop, port());
-    }
-    const frames::Message& awaitAnswer(std::int32_t sequence) {
-        waitUntil([&] { return client->answers.contains(sequence); });
-        return client->answers[sequence];
-    }
-    void awaitRun(int number) {
-        waitUntil([&] { return pool.running.contains(ThriftTestClient::requestId(number)); });
-    }
-    void finish(int number, const std::string& state = "ok", const std::string& result = "") {
-        pool.finish(ThriftTestClient::requestId(number), state, result);
-    }
-    // Sends a request whose run waits for its dependency call.
-    std::int32_t sendRequestWithCall(int number, const std::string& body = "call") {
-        const std::int32_t sequence = client->sendRequest(number);
-        awaitRun(number);
-        pool.block(ThriftTestClient::requestId(number), body);
-        return sequence;
-    }
-    // Closes the connection from a timer, as its own handler must not destroy it.
-    void closeAfterHandler(net::Connection& from) {
-        closeTimer = std::make_unique<net::Timer>(loop, [&] { dependency.server.closeConnection(from); });
-        closeTimer->start(0ns);
-    }
-    std::unique_ptr<ThriftTestClient> client;
-    std::unique_ptr<net::Timer> closeTimer;
-};
-
-const std::string kAnyBytes("\0\n\r\"\xff\x80{}", 9);
-
 TEST(ThriftServer, PassesBodiesUnchanged) {
     ServerWithClient fixture;
     const std::int32_t sequence = fixture.client->sendRequest(1, kAnyBytes);
@@ -407,105 +373,6 @@
     fixture.expectCountersBalanced();
 }
 
-TEST(WorkerPoolClient, AfterReconnectMissedNoticesAreReadAndStartsRepeated) {
-    ServerWithClient fixture;
-    const std::int32_t first = fixture.client->sendRequest(1), second = fixture.client->sendRequest(2),
-                       third = fixture.client->sendRequest(3);
-    fixture.awaitRun(3);
-    fixture.pool.block(ThriftTestClient::requestId(3), "call");
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(3)); });
-    fixture.pool.server.closeConnections();
-    // While disconnected, the end of one run is not delivered, and another run and a dependency response are
-    // lost.
-    fixture.finish(1, "ok", "while away");
-    fixture.pool.running.erase(ThriftTestClient::requestId(2));
-    fixture.pool.dependencyResponses.clear();
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(3)); });
-    EXPECT_EQ(fixture.awaitAnswer(first).body, "while away");
-    EXPECT_EQ(fixture.pool.bindMessages.back()["n"], 1);
-    EXPECT_TRUE(fixture.pool.running.contains(ThriftTestClient::requestId(2)));
-    EXPECT_EQ(fixture.pool.startCount, 5);  // three, and the two unfinished ones again
-    fixture.finish(2);
-    fixture.finish(3);
-    fixture.awaitAnswer(second);
-    fixture.awaitAnswer(third);
-    EXPECT_EQ(fixture.client->duplicateAnswers, 0);
-    fixture.expectCountersBalanced();
-}
-
-TEST(WorkerPoolClient, AfterReconnectNonIdempotentRequestsAreNotStartedAgain) {
-    Json configFile = testing::plainConfigFile();
-    configFile["settings"]["classes"][1]["repeat"] = "single_shot";
-    ServerWithClient fixture(configFile);
-    const std::int32_t once = fixture.client->sendRequest(1, "", "look");
-    const std::int32_t often = fixture.client->sendRequest(2);
-    fixture.awaitRun(1);
-    fixture.awaitRun(2);
-    fixture.pool.server.closeConnections();
-    fixture.waitUntil([&] { return fixture.pool.startCount == 3; });
-    fixture.finish(1);
-    fixture.finish(2);
-    fixture.awaitAnswer(once);
-    fixture.awaitAnswer(often);
-    EXPECT_EQ(fixture.pool.startCount, 3);  // only the idempotent one was started again
-}
-
-TEST(WorkerPoolClient, DropsNoticesThatWereSeen) {
-    ServerWithClient fixture;
-    const std::int32_t sequence = fixture.sendRequestWithCall(1);
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(1)); });
-    fixture.pool.send(fixture.pool.notices.back());
-    fixture.pool.send({{"type", "chatter"}, {"n", ++fixture.pool.lastNumber}, {"state", "as it goes"}});
-    fixture.pool.server.connections.back().connection->send("{not a line}\n");
-    fixture.finish(1);
-    fixture.awaitAnswer(sequence);
-    EXPECT_EQ(fixture.count(Count::CallsStarted), 1U);
-    EXPECT_EQ(fixture.count(Count::WorkerPoolMalformedMessages), 1U);
-}
-
-TEST(WorkerPoolClient, AStartOfAnUnknownRequestFailsIt) {
-    ServerWithClient fixture;
-    fixture.pool.unknownRequests.push_back(ThriftTestClient::requestId(1));
-    EXPECT_EQ(fixture.awaitAnswer(fixture.client->sendRequest(1)).kind, "failed");
-    EXPECT_EQ(fixture.count(Count::WorkerPoolUnknownRequests), 1U);
-    // Requests that the worker pool does not know do not make the server unhealthy for other clients.
-    for (int i = 2; i < 30; ++i) {
-        if (i % 6 == 0) fixture.client = std::make_unique<ThriftTestClient>(fixture.loop, fixture.port());
-        fixture.pool.unknownRequests.push_back(ThriftTestClient::requestId(i));
-        EXPECT_EQ(fixture.awaitAnswer(fixture.client->sendRequest(i)).kind, "failed");
-    }
-    EXPECT_TRUE(fixture.server->requestManager().healthy());
-    fixture.expectCountersBalanced();
-}
-
-TEST(WorkerPoolClient, ReconnectsWhenPollsGetNoAnswer) {
-    ServerWithClient fixture;
-    fixture.pool.answersPolls = false;  // and sends nothing else
-    fixture.waitUntil([&] { return fixture.pool.bindMessages.size() == 2; });
-    EXPECT_EQ(fixture.count(ConnectionEnd::TimedOut), 1U);
-}
-
-// A worker pool can miss only messages that were sent shortly before the connection broke.
-TEST(WorkerPoolClient, AfterReconnectOnlyRecentDependencyResponsesAreSentAgain) {
-    ServerWithClient fixture;
-    fixture.sendRequestWithCall(1);
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(1)); });
-    const Duration from = net::unixNow();
-    fixture.waitUntil([&] { return net::unixNow() > from + 1100ms; });
-    fixture.sendRequestWithCall(2);
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(2)); });
-    fixture.pool.dependencyResponses.clear();
-    fixture.pool.server.closeConnections();
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(2)); });
-    EXPECT_FALSE(fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(1)));
-}
-
 // SIGHUP: the three peers change their addresses while requests run, and a malformed file changes nothing.
 TEST(Reload, MovesClientsToNewAddressesAndRejectsABadFile) {
     ServerWithClient fixture;
@@ -551,138 +418,6 @@
     fixture.expectCountersBalanced();
 }
 
-TEST(WorkerPoolClient, EventBatchesGoOnWithoutGauges) {
-    ServerWithClient fixture;
-    fixture.pool.answersPolls = false;
-    const int polls = fixture.pool.pollCount;
-    fixture.waitUntil([&] { return fixture.pool.pollCount > polls + 10; });
-    const std::int32_t sequence = fixture.client->sendRequest(1);
-    fixture.awaitRun(1);
-    fixture.finish(1);
-    EXPECT_EQ(fixture.awaitAnswer(sequence).kind, "answer");
-}
-
-TEST(DependencyClient, MakesCallsAndPassesTheirResponsesOn) {
-    ServerWithClient fixture;
-    const std::int32_t sequence = fixture.sendRequestWithCall(1, kAnyBytes);
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.contains(ThriftTestClient::requestId(1)); });
-    EXPECT_EQ(fixture.pool.dependencyResponses.at(ThriftTestClient::requestId(1)), "re:" + kAnyBytes);
-    EXPECT_EQ(fixture.dependency.requestBodies.at(0), kAnyBytes);
-    EXPECT_EQ(FakeHttpServer::header(fixture.dependency.requestHeads.at(0), "Op-Of"),
-              ThriftTestClient::requestId(1));
-    EXPECT_GT(std::stoi(FakeHttpServer::header(fixture.dependency.requestHeads.at(0), "Op-Wait-Ms")), 100);
-    fixture.pool.block(ThriftTestClient::requestId(1), "second");
-    fixture.waitUntil([&] { return fixture.dependency.requestBodies.size() == 2; });
-    fixture.waitUntil(
-        [&] { return fixture.pool.dependencyResponses.at(ThriftTestClient::requestId(1)) == "re:second"; });
-    EXPECT_EQ(fixture.dependency.server.acceptedCount, 2);  // each call on a connection of its own
-    fixture.finish(1);
-    EXPECT_EQ(fixture.awaitAnswer(sequence).kind, "answer");
-    fixture.expectCountersBalanced();
-}
-
-// Each kind of response and each way in which the connection can end has its own outcome.
-TEST(DependencyClient, EachResponseHasItsOutcome) {
-    const std::string notBegun = "Op-Not-Begun: 1\r\n";
-    const std::vector<std::pair<std::string, Count>> cases = {
-        {FakeHttpServer::reply(503, "", notBegun), Count::CallsResourceExhausted},
-        {FakeHttpServer::reply(503), Count::CallsError},
-        {FakeHttpServer::reply(500), Count::CallsError},
-        {FakeHttpServer::reply(504), Count::CallsTimedOut},
-        {FakeHttpServer::reply(409, "", notBegun), Count::CallsSuperseded},
-        {FakeHttpServer::reply(200, "good") + FakeHttpServer::reply(200, "copy"), Count::CallsOk},
-        {"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nand so on", Count::CallsMalformedResponse},
-        {"no reply\r\n\r\n", Count::CallsMalformedResponse},
-        {"hang up", Count::CallsConnectionLost}};
-    for (const auto& [reply, kind] : cases) {
-        ServerWithClient fixture;
-        fixture.dependency.handler = [&](net::Connection& from, const std::string&, const std::string&) {
-            if (reply != "hang up") return reply;
-            fixture.closeAfterHandler(from);
-            return std::string();
-        };
-        fixture.sendRequestWithCall(1);
-        fixture.waitUntil([&] { return fixture.count(kind) > 0; });
-    }
-}
-
-TEST(DependencyClient, ACallTimesOutWithoutAnswerAndIsUnreachableWithoutConnection) {
-    Json configFile = testing::plainConfigFile();
-    configFile["settings"]["classes"][0]["aim_us"] = 300000;
-    ServerWithClient fixture(configFile);
-    fixture.dependency.handler = [](net::Connection&, const std::string&, const std::string&) {
-        return std::string();
-    };
-    fixture.sendRequestWithCall(1);
-    fixture.waitUntil([&] { return fixture.count(Count::CallsTimedOut) > 0; });
-    EXPECT_GT(fixture.count(ConnectionEnd::TimedOut), 0U);
-    fixture.dependency.server.stopListening();
-    fixture.sendRequestWithCall(2);
-    fixture.waitUntil([&] { return fixture.count(Count::CallsUnreachable) > 0; });
-    EXPECT_GT(fixture.count(ConnectionEnd::ConnectRefused), 0U);
-}
-
-TEST(DependencyClient, ACancelledRequestAbandonsItsCall) {
-    ServerWithClient fixture;
-    fixture.dependency.handler = [](net::Connection&, const std::string&, const std::string&) {
-        return std::string();
-    };
-    const std::int32_t sequence = fixture.sendRequestWithCall(1);
-    fixture.waitUntil([&] { return !fixture.dependency.requestHeads.empty(); });
-    fixture.client->send(frames::forget(2, sequence));
-    fixture.waitUntil(
-        [&] { return fixture.dependency.server.connections.empty(); });  // its connection was closed
-    EXPECT_EQ(fixture.count(Count::CallsAbandoned), 1U);
-    fixture.finish(1, "halted");
-    fixture.waitUntil([&] { return fixture.server->requestManager().trackedCount() == 0; });
-    fixture.expectCountersBalanced();
-}
-
-TEST(RegistryClient, ReportsPeriodicallyAndSoonAfterAFailure) {
-    ServerWithClient fixture;
-    fixture.waitUntil([&] { return fixture.registry.requestHeads.size() >= 2; });
-    EXPECT_EQ(fixture.registry.requestHeads[0].substr(0, fixture.registry.requestHeads[0].find("\r\n")),
-              "PUT /v1/instances/n3 HTTP/1.1");
-    EXPECT_EQ(fixture.registry.requestBodies[0], R"({"state":"ready"})");
-    EXPECT_EQ(fixture.registry.server.acceptedCount, 1);
-    // The registry does not answer for a while: the next report comes well before the registration expires.
-    fixture.registry.handler = [](net::Connection&, const std::string&, const std::string&) {
-        return std::string();
-    };
-    const Duration from = net::unixNow();
-    fixture.waitUntil([&] { return fixture.count(Count::RegistryReportsFailed) > 0; });
-    fixture.registry.handler = [](net::Connection&, const std::string&, const std::string&) {
-        return FakeHttpServer::reply(204);
-    };
-    const std::size_t before = fixture.registry.requestHeads.size();
-    fixture.waitUntil([&] { return fixture.registry.requestHeads.size() > before; });
-    EXPECT_LT(net::unixNow() - from, 3s);
-    EXPECT_GE(fixture.registry.server.acceptedCount, 2);
-}
-
-TEST(RegistryClient, ANewReportReplacesOneWithoutAnswer) {
-    net::Loop loop;
-    FakeHttpServer registry(
-        loop, [](net::Connection&, const std::string&, const std::string&) { return std::string(); });
-    std::ostringstream lines;
-    telemetry::Log log(lines, telemetry::Level::Debug);
-    telemetry::Counters counters;
-    registry::RegistryClient reports(loop, registry.server.address(), "n3", log, counters);
-    const Duration from = net::unixNow();
-    for (const bool ready : {false, true}) {
-        const std::size_t before = registry.requestBodies.size();
-        runUntil(loop, [&] { return registry.requestBodies.size() == std::max<std::size_t>(before, 1); });
-        reports.reportReady(ready);
-        runUntil(loop, [&] { return registry.requestBodies.size() == std::max<std::size_t>(before, 1) + 1; });
-        EXPECT_EQ(registry.requestBodies.back(), ready ? R"({"state":"ready"})" : R"({"state":"draining"})");
-    }
-    EXPECT_LT(net::unixNow() - from, 400ms);  // earlier than the timeout of a report
-    EXPECT_EQ(counters.of(Count::RegistryReportsFailed), 2U);
-    EXPECT_EQ(lines.str().find("registry unavailable"),
-              std::string::npos);  // an unanswered report may have been accepted
-}
-
 TEST(GracefulShutdown, ReportsDrainingAnswersOpenRequestsAndStops) {
     ServerWithClient fixture;
     ThriftTestClient idle(fixture.loop, fixture.port());
