--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -756,6 +756,58 @@
     std::_Exit(kCouldNotRun);
 }
 
+// ---- The network between sidecars and the backend ---------------------------------------------------------------
+
+// Relays connections to the backend. While it stands still, it passes nothing on in either direction and loses
+// nothing.
+class Relay {
+public:
+    explicit Relay(int to) : to_(to) {
+        const int listener = listenOn(port);
+        std::thread([this, listener] {
+            for (;;) {
+                const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+                if (fd >= 0) std::thread([this, fd] { relay(fd); }).detach();
+            }
+        }).detach();
+    }
+    void standStill(bool still) { still_ = still; }
+    int port = 0;
+
+private:
+    void relay(int client) {
+        while (still_) sleepMs(2);
+        noDelay(client);
+        const int backend = connectTo(to_);
+        if (backend < 0) {
+            close(client);
+            return;
+        }
+        std::thread back([this, client, backend] { pump(backend, client); });
+        pump(client, backend);
+        back.join();
+        close(client);
+        close(backend);
+    }
+    void pump(int from, int to) {
+        char buffer[16384];
+        for (;;) {
+            pollfd readable{from, POLLIN, 0};
+            poll(&readable, 1, 20);
+            if (still_) {
+                sleepMs(2);
+                continue;
+            }
+            if (readable.revents == 0) continue;
+            const ssize_t count = recv(from, buffer, sizeof buffer, 0);
+            if (count <= 0 || !sendAll(to, std::string(buffer, static_cast<std::size_t>(count)))) break;
+        }
+        shutdown(to, SHUT_WR);
+    }
+    const int to_;
+    std::atomic<bool> still_{false};
+};
+
 // ---- The rule on lost requests ----------------------------------------------------------------------------------
 
 // Slack of an answer: `grace_to_answer_us` of the settings, and 50 ms on sockets.
