--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -16,69 +16,8 @@
 
 std::size_t resultBytes(const Request&) { return kResultBytes; }
 
-// A request of a class that doesn't exist, and behind it a message that claims to have 16 KiB and has one byte less.
-std::string badMessages(const std::string& id) {
-    Request unknown;
-    unknown.id = id;
-    unknown.route = "no-such-class";
-    unknown.born = nowMs();
-    unknown.patience = 1000;
-    return serveFrame(unknown, 1) + Bytes().number(16384, 4).text + std::string(16383, 'x');
-}
-
-// Bad clients send at full speed, read whatever is sent to them, and come again half a second after they were turned away.
-void playBadClients(int port, std::int64_t until, Record& record) {
-    struct Client {
-        int fd = -1;
-        std::string left;
-        std::int64_t openedMs = 0, nextMs = 0;
-    };
-    std::vector<Client> clients(kBadClients);
-    std::uint64_t ids = 0x5bad000000000000ULL;
-    int opened = 0, ended = 0;
-    std::int64_t longestMs = 0;
-    while (nowMs() < until) {
-        for (Client& client : clients) {
-            if (client.fd >= 0 || nowMs() < client.nextMs) continue;
-            client.fd = connectTo(port);
-            if (client.fd < 0) continue;
-            ++opened;
-            fcntl(client.fd, F_SETFL, fcntl(client.fd, F_GETFL) | O_NONBLOCK);
-            char id[17];
-            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++ids));
-            client.left = badMessages(id);
-            client.openedMs = nowMs();
-        }
-        std::vector<pollfd> polled;
-        for (const Client& client : clients)
-            polled.push_back({client.fd, static_cast<short>(client.left.empty() ? POLLIN : POLLIN | POLLOUT), 0});
-        poll(polled.data(), polled.size(), 20);
-        for (std::size_t i = 0; i < clients.size(); ++i) {
-            Client& client = clients[i];
-            if (client.fd < 0 || polled[i].revents == 0) continue;
-            bool over = false;
-            if ((polled[i].revents & POLLOUT) != 0 && !client.left.empty()) {
-                const ssize_t count = send(client.fd, client.left.data(), client.left.size(), MSG_NOSIGNAL);
-                if (count > 0) client.left.erase(0, static_cast<std::size_t>(count));
-                over = count < 0 && errno != EAGAIN && errno != EINTR;
-            }
-            char buffer[4096];
-            ssize_t count;
-            while ((count = recv(client.fd, buffer, sizeof buffer, 0)) > 0) {}
-            over = over || count == 0 || (errno != EAGAIN && errno != EINTR);
-            if (!over) continue;
-            longestMs = std::max(longestMs, nowMs() - client.openedMs);
-            ++ended;
-            close(client.fd);
-            client.fd = -1;
-            client.nextMs = nowMs() + kAgainMs;
-        }
-    }
-    for (const Client& client : clients)
-        if (client.fd >= 0) close(client.fd);
-    record.line("bad clients: %d connections, %d ended by the backend, the longest after %lld ms", opened, ended,
-                static_cast<long long>(longestMs));
-}
+// A message that claims to have 16 KiB and has one byte less.
+std::string badMessages(const std::string& id) { return unknownClassThenWrongLength(id, 16384, 16383); }
 
 }  // namespace
 
@@ -98,8 +37,7 @@
     if (withTrouble())
         bad = std::thread([&] {
             sleepUntilMs(start + kTroubleFromMs);
-            record.line("%d bad clients connect", kBadClients);
-            playBadClients(backend.port, start + kTroubleToMs, record);
+            playBadClients(kBadClients, kAgainMs, badMessages, backend.port, start + kTroubleToMs, record);
         });
     std::vector<SidecarPtr> sidecars(kSidecars);
     int ends = 0;
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -665,6 +665,8 @@
         const std::lock_guard lock(world_.mutex);
         return open_.size();
     }
+    // Closes the connection.
+    void leave() { shutdown(fd_, SHUT_RDWR); }
     bool ended() const { return ended_; }
     bool toldToLeave() const { return leaving_; }
     int answers() const { return answers_; }
@@ -808,6 +810,75 @@
     std::atomic<bool> still_{false};
 };
 
+// ---- Bad clients ------------------------------------------------------------------------------------------------
+
+// A request of a class that doesn't exist, and behind it a message that is shorter than its length says.
+inline std::string unknownClassThenWrongLength(const std::string& id, std::size_t length, std::size_t bytes) {
+    Request unknown;
+    unknown.id = id;
+    unknown.route = "no-such-class";
+    unknown.born = nowMs();
+    unknown.patience = 1000;
+    return serveFrame(unknown, 1) + Bytes().number(length, 4).text + std::string(bytes, 'x');
+}
+
+// Bad clients send at full speed, read whatever is sent to them, and come again againMs after they were turned away.
+// messages: what a client sends, made with an id of its own.
+inline void playBadClients(int count, std::int64_t againMs, const std::function<std::string(const std::string&)>& messages, int port,
+                           std::int64_t until, Record& record) {
+    record.line("%d bad clients connect", count);
+    struct Client {
+        int fd = -1;
+        std::string left;
+        std::int64_t openedMs = 0, nextMs = 0;
+    };
+    std::vector<Client> clients(static_cast<std::size_t>(count));
+    std::uint64_t ids = 0x5bad000000000000ULL;
+    int opened = 0, ended = 0;
+    std::int64_t longestMs = 0;
+    while (nowMs() < until) {
+        for (Client& client : clients) {
+            if (client.fd >= 0 || nowMs() < client.nextMs) continue;
+            client.fd = connectTo(port);
+            if (client.fd < 0) continue;
+            ++opened;
+            fcntl(client.fd, F_SETFL, fcntl(client.fd, F_GETFL) | O_NONBLOCK);
+            char id[17];
+            std::snprintf(id, sizeof id, "%016llx", static_cast<unsigned long long>(++ids));
+            client.left = messages(id);
+            client.openedMs = nowMs();
+        }
+        std::vector<pollfd> polled;
+        for (const Client& client : clients)
+            polled.push_back({client.fd, static_cast<short>(client.left.empty() ? POLLIN : POLLIN | POLLOUT), 0});
+        poll(polled.data(), polled.size(), 20);
+        for (std::size_t i = 0; i < clients.size(); ++i) {
+            Client& client = clients[i];
+            if (client.fd < 0 || polled[i].revents == 0) continue;
+            bool over = false;
+            if ((polled[i].revents & POLLOUT) != 0 && !client.left.empty()) {
+                const ssize_t sent = send(client.fd, client.left.data(), client.left.size(), MSG_NOSIGNAL);
+                if (sent > 0) client.left.erase(0, static_cast<std::size_t>(sent));
+                over = sent < 0 && errno != EAGAIN && errno != EINTR;
+            }
+            char buffer[4096];
+            ssize_t got;
+            while ((got = recv(client.fd, buffer, sizeof buffer, 0)) > 0) {}
+            over = over || got == 0 || (errno != EAGAIN && errno != EINTR);
+            if (!over) continue;
+            longestMs = std::max(longestMs, nowMs() - client.openedMs);
+            ++ended;
+            close(client.fd);
+            client.fd = -1;
+            client.nextMs = nowMs() + againMs;
+        }
+    }
+    for (const Client& client : clients)
+        if (client.fd >= 0) close(client.fd);
+    record.line("bad clients: %d connections, %d ended by the backend, the longest after %lld ms", opened, ended,
+                static_cast<long long>(longestMs));
+}
+
 // ---- The rule on lost requests ----------------------------------------------------------------------------------
 
 // Slack of an answer: `grace_to_answer_us` of the settings, and 50 ms on sockets.
