--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -454,14 +454,14 @@
            "\"value_by\":\"request\"}}";
 }
 
-class Backend {
+// One process of the project. RUN_COMMAND, PROJECT_ROOT and CASE_TMP come from run-case.
+class Process {
 public:
-    // RUN_COMMAND, PROJECT_ROOT and CASE_TMP come from run.sh.
-    Backend(const Deployment& deployment, Record& record) : port(freePort()), record_(record) {
-        const std::string folder = variable("CASE_TMP"), run = variable("RUN_COMMAND"), root = variable("PROJECT_ROOT");
-        const std::string config = folder + "/config.json", log = folder + "/backend.log";
-        std::ofstream(config) << configOf(deployment, port);
-        const std::string listen = "127.0.0.1:" + std::to_string(port);
+    // arguments: behind the command `run` of the deploy file.
+    Process(const std::string& arguments, const std::map<std::string, std::string>& environment, Record& record)
+        : record_(record) {
+        const std::string log = variable("CASE_TMP") + "/backend.log", root = variable("PROJECT_ROOT");
+        const std::string run = variable("RUN_COMMAND") + arguments;
         std::fflush(nullptr);
         pid_ = fork();
         if (pid_ < 0) std::perror("fork"), std::exit(kCouldNotRun);
@@ -469,46 +469,63 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(out, 1), dup2(out, 2);
-            setenv("GW_NAME", "n3", 1), setenv("GW_LISTEN", listen.c_str(), 1);
-            setenv("GW_CONFIG", config.c_str(), 1), setenv("TMPDIR", folder.c_str(), 1);
+            for (const auto& [name, value] : environment) setenv(name.c_str(), value.c_str(), 1);
+            setenv("TMPDIR", variable("CASE_TMP").c_str(), 1);
             if (chdir(root.c_str()) != 0) _exit(127);
             execl("/bin/sh", "sh", "-c", run.c_str(), nullptr);
             _exit(127);
         }
-        record.line("backend started: pid %d, port %d", pid_, port);
+        record.line("started: %s, pid %d", run.c_str(), pid_);
     }
-    ~Backend() { end(); }
+    ~Process() { end(); }
     void signal(int number) {
-        record_.line("signal %d to the backend", number);
+        record_.line("signal %d to the process", number);
         kill(pid_, number);
     }
     bool alive() {
         int status = 0;
         if (pid_ <= 0) return false;
         if (waitpid(pid_, &status, WNOHANG) != pid_) return true;
-        record_.line("the backend ended: status %d", status);
+        record_.line("the process ended: status %d", status);
         pid_ = 0;
         return false;
     }
     void end() {
-        if (pid_ <= 0 || !alive()) return;
+        if (!alive()) return;
         kill(pid_, SIGKILL);
         waitpid(pid_, nullptr, 0);
         pid_ = 0;
     }
-    int pid() const { return pid_; }
-    const int port;
-
-private:
     static std::string variable(const char* name) {
         const char* const value = std::getenv(name);
         if (value == nullptr) std::fprintf(stderr, "%s is not set\n", name), std::exit(kCouldNotRun);
         return value;
     }
+
+private:
     Record& record_;
     pid_t pid_ = 0;
 };
 
+// One backend, on a port of its own.
+class Backend {
+public:
+    Backend(const Deployment& deployment, Record& record)
+        : port(freePort()), process_("", environment(deployment, port), record) {}
+    void signal(int number) { process_.signal(number); }
+    bool alive() { return process_.alive(); }
+    void end() { process_.end(); }
+    const int port;
+
+private:
+    static std::map<std::string, std::string> environment(const Deployment& deployment, int port) {
+        const std::string config = Process::variable("CASE_TMP") + "/config.json";
+        std::ofstream(config) << configOf(deployment, port);
+        return {{"GW_NAME", "n3"}, {"GW_LISTEN", "127.0.0.1:" + std::to_string(port)}, {"GW_CONFIG", config}};
+    }
+    Process process_;
+};
+
 // ---- Thrift, as a sidecar speaks it -----------------------------------------------------------------------------
 
 class Bytes {
@@ -943,7 +960,8 @@
 }
 
 // Ends the case: the threads of the stand-ins are not waited for.
-[[noreturn]] inline void finish(Backend& backend, Record& record, int code) {
+template <typename AnyProcess>
+[[noreturn]] void finish(AnyProcess& backend, Record& record, int code) {
     if (!backend.alive() && code == kHeld) code = kBroken;  // nothing told it to end
     backend.end();
     record.line("exit code %d: %s", code, code == kBroken ? "the rule was broken" : code == kHeld ? "the rule held" : "the case couldn't run");
