--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10: one program a case, from its case.cpp and standins-2/kit.h.
+# Builds the stand-ins of the cases 6 to 9: one program a case, from its case.cpp and standins-2/kit.h.
 set -eu
 cd "$(dirname "$0")"
 mkdir -p build-2
--- a/review/standins-2/kit.h
+++ b/review/standins-2/kit.h
@@ -1,4 +1,4 @@
-// Stand-ins of the cases 6 to 10, for one process a case: the worker pool, the registry and the records service as
+// Stand-ins of the cases 6 to 9, for one process a case: the worker pool, the registry and the records service as
 // threads, a sidecar's connection, a relay, and the backend as a process of its own, started with the command `run`
 // of the deploy file. All addresses are loopback, all ports are chosen by the system.
 #pragma once
