Telemetry: what ended a client's connection, with what was open and buffered on it

The logs could not tell apart why a sound client's connection ended: too-long stood for a message beyond its limit, for an output that its client does not read and for the memory that all connections share; an overdue request counted like any malformed one; and the lines on bad clients suppressed those on the others.

Change: the end out-of-memory; counters connections-ended-in-use and requests-overdue; each end is logged with open requests, protocol errors, buffered and unread bytes and the use of the shared memory, as a component of its own, and as a warning where a sound client may lose a request. RequestError tells a future arrival from a passed deadline. Behaviour is unchanged.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -97,7 +97,8 @@
     if (count == 0) return;  // libuv's equivalent of EAGAIN
     if (state_ == State::Closing) return discardInput(count);
     if (count == UV_EOF) return fail(ConnectionEnd::PeerClosed);
-    if (count == UV_ENOBUFS) return fail(ConnectionEnd::TooLong);  // the input buffer has no space
+    if (count == UV_ENOBUFS)  // the input buffer has no space
+        return fail(input_.freeBytes() == 0 ? ConnectionEnd::TooLong : ConnectionEnd::OutOfMemory);
     if (count < 0) return fail(ConnectionEnd::Reset);
     input_.commit(static_cast<std::size_t>(count));
     if (connection_ != nullptr) connection_->handler_.arrived(*connection_);
@@ -146,8 +147,9 @@
 }
 
 void Channel::send(std::string_view bytes) {
+    const bool isTooLong = bytes.size() > output_.freeBytes();
     const bool fits = output_.write(bytes);
-    if (!fits && !pendingEnd_) pendingEnd_ = ConnectionEnd::TooLong;
+    if (!fits && !pendingEnd_) pendingEnd_ = isTooLong ? ConnectionEnd::TooLong : ConnectionEnd::OutOfMemory;
     if (isOutputHalfFull()) pauseReading();
     requestFlush();
 }
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -32,7 +32,7 @@
     void accept(ListenerHandle& listener);
 
     /// Appends to the output, which is written at the end of the turn. If the bytes do not fit, the
-    /// connection ends at that point instead, with ConnectionEnd::TooLong.
+    /// connection ends at that point instead, with ConnectionEnd::TooLong or OutOfMemory.
     void send(std::string_view bytes);
     /// Writes as much output as the socket accepts without blocking. Unlike flush(), reports no errors and
     /// does not schedule the rest.
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -67,7 +67,7 @@
     const ByteRing& output() const;
 
     /// Appends to the output, which is written at the end of the turn. If the bytes do not fit into the
-    /// output buffer, the connection ends at that point instead, with ConnectionEnd::TooLong.
+    /// output buffer, the connection ends at that point instead, with ConnectionEnd::TooLong or OutOfMemory.
     void send(std::string_view bytes);
 
     /// Pauses reading until the next turn, so that other connections are served first. arrived() is called
--- a/src/net/connection_end.cpp
+++ b/src/net/connection_end.cpp
@@ -20,6 +20,8 @@
             return "malformed";
         case ConnectionEnd::TooLong:
             return "too-long";
+        case ConnectionEnd::OutOfMemory:
+            return "out-of-memory";
         case ConnectionEnd::Unused:
             break;
     }
@@ -37,6 +39,7 @@
             return Outcome::Cancelled;
         case ConnectionEnd::Malformed:
         case ConnectionEnd::TooLong:
+        case ConnectionEnd::OutOfMemory:
             return Outcome::MalformedResponse;
         case ConnectionEnd::PeerClosed:
         case ConnectionEnd::Reset:
--- a/src/net/connection_end.h
+++ b/src/net/connection_end.h
@@ -17,10 +17,11 @@
     Abandoned,        ///< closed by us: the response is no longer needed
     Malformed,        ///< closed by us: malformed input
     TooLong,          ///< closed by us: more bytes than the buffer limit allows
-    Unused            ///< closed by us: idle, or evicted for a new connection
+    Unused,           ///< closed by us: idle, or evicted for a new connection
+    OutOfMemory       ///< closed by us: the buffer memory that connections share has run out
 };
 
-inline constexpr int kConnectionEnds = static_cast<int>(ConnectionEnd::Unused) + 1;
+inline constexpr int kConnectionEnds = static_cast<int>(ConnectionEnd::OutOfMemory) + 1;
 
 /// The name in log lines and counters, for example "peer-closed".
 const char* nameOf(ConnectionEnd end);
--- a/src/telemetry/counters.h
+++ b/src/telemetry/counters.h
@@ -23,6 +23,10 @@
     COUNTER(ConnectionsEvicted, "connections-evicted", "connections closed to make room for new ones")        \
     COUNTER(MalformedRequests, "requests-malformed",                                                          \
             "messages answered with an application exception; not among requests-read")                       \
+    COUNTER(OverdueRequests, "requests-overdue",                                                              \
+            "of the malformed: requests that were read after their client's timeout")                         \
+    COUNTER(ConnectionsEndedInUse, "connections-ended-in-use",                                                \
+            "connections that this server ended while requests were open on them")                            \
     COUNTER(MalformedFrames, "frames-malformed", "connections closed because of a malformed frame")           \
     COUNTER(CancelMessages, "cancel-messages", "messages by which clients cancel requests")                   \
     COUNTER(HealthChecks, "health-checks", "health checks answered")                                          \
--- a/src/thrift/request_decoder.cpp
+++ b/src/thrift/request_decoder.cpp
@@ -90,8 +90,8 @@
             (!timeoutMs || *timeoutMs < 0 || *timeoutMs > longest / 1ms))
             return RequestError::MalformedTimeout;
         const Timestamp deadline = arrivedAt_ + (timeoutMs ? 1ms * *timeoutMs : longest);
-        if (arrivedAt_ > now_ + kMaxClockDifference || deadline < now_ - kMaxClockDifference)
-            return RequestError::ArrivalTimeOutOfRange;
+        if (arrivedAt_ > now_ + kMaxClockDifference) return RequestError::ArrivalTimeInFuture;
+        if (deadline < now_ - kMaxClockDifference) return RequestError::DeadlinePassed;
         incoming_.request.deadline = deadline;
         incoming_.request.queuedBeforeRead = std::max(Duration(0ns), now_ - arrivedAt_);
         incoming_.request.fullyReceivedBy = now_;
@@ -213,7 +213,8 @@
             return fieldError(wire::kRequestId, "16 hex digits were expected");
         case RequestError::MalformedArrivalTime:
             return fieldError(wire::kArrivalTimeMs, "Unix milliseconds were expected");
-        case RequestError::ArrivalTimeOutOfRange:
+        case RequestError::ArrivalTimeInFuture:
+        case RequestError::DeadlinePassed:
             return fieldError(wire::kArrivalTimeMs, "a time near the present was expected");
         case RequestError::MalformedTimeout:
             return fieldError(wire::kTimeoutMs, "milliseconds were expected");
--- a/src/thrift/request_decoder.h
+++ b/src/thrift/request_decoder.h
@@ -21,8 +21,8 @@
     UnknownTenant,
     MalformedRequestId,
     MalformedArrivalTime,
-    ArrivalTimeOutOfRange,  ///< The request arrived in the future, or its deadline is in the past, by more
-                            ///< than the tolerated clock difference.
+    ArrivalTimeInFuture,  ///< By more than the tolerated clock difference.
+    DeadlinePassed,       ///< By more than the tolerated clock difference.
     MalformedTimeout,
     MalformedMemory,
     MalformedExpectedWork,
--- a/src/thrift/thrift_connection.cpp
+++ b/src/thrift/thrift_connection.cpp
@@ -52,6 +52,11 @@
     connection_.stopReading();
 }
 
+void ThriftConnection::noteServed() {
+    protocolErrors_ = 0;
+    served_ = true;
+}
+
 bool ThriftConnection::hasTooManyProtocolErrors() const { return protocolErrors_ >= kMaxProtocolErrors; }
 
 bool ThriftConnection::canOpenRequest(std::int32_t sequence) const {
@@ -101,6 +106,14 @@
     connection_.send(writeGoaway());
 }
 
+std::string ThriftConnection::describe() const {
+    return "open_requests=" + std::to_string(openRequests_.size()) +
+           " served=" + (served_ ? "true" : "false") + " protocol_errors=" + std::to_string(protocolErrors_) +
+           " input_bytes=" + std::to_string(connection_.input().size()) +
+           " unread=" + (hasUnreadBytes() ? "true" : "false") +
+           " output_bytes=" + std::to_string(connection_.output().size());
+}
+
 bool ThriftConnection::isDrainOverdue(Timestamp now) const {
     return drainingSince_ && now - *drainingSince_ >= kDrainTimeout && isIdle();
 }
--- a/src/thrift/thrift_connection.h
+++ b/src/thrift/thrift_connection.h
@@ -63,9 +63,11 @@
 
     // Protocol errors: messages that were rejected.
     void addProtocolError() { ++protocolErrors_; }
-    /// Called when a request completes, so that a long-lived connection is not closed for errors that are far
-    /// apart.
-    void resetProtocolErrors() { protocolErrors_ = 0; }
+    /// Called when a request completes. Clears the protocol errors, so that a long-lived connection is not
+    /// closed for errors that are far apart.
+    void noteServed();
+    /// Whether a request has completed, which shows that the client is sound.
+    bool hasBeenServed() const { return served_; }
     /// Whether the client keeps sending malformed requests, or repeats rejected ones immediately.
     bool hasTooManyProtocolErrors() const;
 
@@ -106,6 +108,9 @@
     /// @param done  called from the loop once the descriptor has been released
     void closeGracefully(std::function<void()> done) { connection_.closeGracefully(std::move(done)); }
 
+    /// Its state in fields for the log, as "open_requests=2 input_bytes=0 …".
+    std::string describe() const;
+
     bool isIdentified() const { return identified_; }
     Timestamp acceptedAt() const { return acceptedAt_; }
     /// The time of the last message or response, initially the time of acceptance.
@@ -130,6 +135,7 @@
     std::optional<Timestamp> drainingSince_;
     std::optional<net::ConnectionEnd> readingStopped_;
     int protocolErrors_ = 0;
+    bool served_ = false;
 };
 
 }  // namespace cottonwing::thrift
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -15,6 +15,7 @@
 using telemetry::Count;
 
 constexpr char kLogComponent[] = "thrift";
+constexpr char kEndLogComponent[] = "connection";  // its own, as messages to reject may suppress many lines
 constexpr std::size_t kMaxLoggedNameBytes = 40;    // of a method name from a client
 constexpr int kMaxMessagesPerTurn = 64;            // per connection; the rest is read in the next turn
 constexpr Duration kFirstMessageTimeout = 1500ms;  // from acceptance to the first complete message
@@ -149,8 +150,10 @@
 
 void ThriftServer::handleRequest(ThriftConnection& connection, const Message& message) {
     auto decoded = decoder_.decode(message, net::unixNow());
-    if (const auto* const error = std::get_if<RequestError>(&decoded))
+    if (const auto* const error = std::get_if<RequestError>(&decoded)) {
+        if (*error == RequestError::DeadlinePassed) counters_.add(Count::OverdueRequests);
         return rejectMessage(connection, message, ApplicationError::Internal, textOf(*error));
+    }
     auto& incoming = std::get<request::IncomingRequest>(decoded);
     const RequestId id = incoming.request.id;
     if (requests_.contains(id))
@@ -194,7 +197,7 @@
 
 void ThriftServer::completed(RequestId id, std::string_view result) {
     if (const auto found = inFlight_.find(id); found != inFlight_.end())
-        found->second.connection->resetProtocolErrors();
+        found->second.connection->noteServed();
     answer(id, [&](std::int32_t sequence) {
         return writeAnswer(wire::kServeMethod, sequence, result, loadShareFields(), true);
     });
@@ -250,10 +253,26 @@
     abort(connection, end);
 }
 
+// A warning if this server ends a connection whose client may lose a request by it: one is open, or there is
+// input on a connection that was served before.
+void ThriftServer::recordEnd(ThriftConnection& connection, net::ConnectionEnd end, const char* event) {
+    counters_.addEnd(end);
+    const bool endedByPeer = end == net::ConnectionEnd::PeerClosed || end == net::ConnectionEnd::Reset;
+    if (!endedByPeer && connection.hasOpenRequests()) counters_.add(Count::ConnectionsEndedInUse);
+    const bool mayLoseRequest =
+        connection.hasOpenRequests() || (connection.hasBeenServed() && !connection.isIdle());
+    const telemetry::Level level =
+        !endedByPeer && mayLoseRequest ? telemetry::Level::Warn : telemetry::Level::Debug;
+    if (!log_.isEnabled(level)) return;
+    log_.line(level, kEndLogComponent,
+              event + std::string(net::nameOf(end)) + " " + connection.describe() +
+                  " buffers_used_bytes=" + std::to_string(bufferBudget_->usedBytes) +
+                  " buffers_limit_bytes=" + std::to_string(bufferBudget_->limitBytes));
+}
+
 // Closes immediately, without waiting for the peer.
 void ThriftServer::abort(ThriftConnection& connection, net::ConnectionEnd end) {
-    counters_.addEnd(end);
-    log_.debug(kLogComponent, std::string("connection ended: ") + net::nameOf(end));
+    recordEnd(connection, end, "connection ended: reason=");
     connection.tryFlush();
     remove(connection);
     resumeAccepting();
@@ -262,8 +281,7 @@
 // Closes gracefully: pending responses are still written, and the end of the connection tells the client that
 // a request which crossed it gets no response.
 void ThriftServer::closeGracefully(ThriftConnection& connection, net::ConnectionEnd end) {
-    counters_.addEnd(end);
-    log_.debug(kLogComponent, std::string("closing connection gracefully: ") + net::nameOf(end));
+    recordEnd(connection, end, "closing connection gracefully: reason=");
     ++*closing_;
     connection.closeGracefully([this, weak = std::weak_ptr<std::size_t>(closing_)] {
         const auto closing = weak.lock();
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -86,6 +86,7 @@
     void send(ThriftConnection& connection, const std::string& frame);
     Fields loadShareFields() const;
 
+    void recordEnd(ThriftConnection& connection, net::ConnectionEnd end, const char* event);
     void abort(ThriftConnection& connection, net::ConnectionEnd end);
     void closeGracefully(ThriftConnection& connection, net::ConnectionEnd end);
     void remove(ThriftConnection& connection);
--- a/tests/net/connection_end_test.cpp
+++ b/tests/net/connection_end_test.cpp
@@ -12,15 +12,17 @@
 namespace {
 
 TEST(ConnectionEnd, EachHasAnOutcomeAndADistinctName) {
-    const std::map<ConnectionEnd, Outcome> expected = {{ConnectionEnd::PeerClosed, Outcome::ConnectionLost},
-                                                       {ConnectionEnd::Reset, Outcome::ConnectionLost},
-                                                       {ConnectionEnd::ConnectRefused, Outcome::Unreachable},
-                                                       {ConnectionEnd::ConnectTimedOut, Outcome::Unreachable},
-                                                       {ConnectionEnd::TimedOut, Outcome::TimedOut},
-                                                       {ConnectionEnd::Abandoned, Outcome::Cancelled},
-                                                       {ConnectionEnd::Malformed, Outcome::MalformedResponse},
-                                                       {ConnectionEnd::TooLong, Outcome::MalformedResponse},
-                                                       {ConnectionEnd::Unused, Outcome::ConnectionLost}};
+    const std::map<ConnectionEnd, Outcome> expected = {
+        {ConnectionEnd::PeerClosed, Outcome::ConnectionLost},
+        {ConnectionEnd::Reset, Outcome::ConnectionLost},
+        {ConnectionEnd::ConnectRefused, Outcome::Unreachable},
+        {ConnectionEnd::ConnectTimedOut, Outcome::Unreachable},
+        {ConnectionEnd::TimedOut, Outcome::TimedOut},
+        {ConnectionEnd::Abandoned, Outcome::Cancelled},
+        {ConnectionEnd::Malformed, Outcome::MalformedResponse},
+        {ConnectionEnd::TooLong, Outcome::MalformedResponse},
+        {ConnectionEnd::Unused, Outcome::ConnectionLost},
+        {ConnectionEnd::OutOfMemory, Outcome::MalformedResponse}};
     ASSERT_EQ(expected.size(), static_cast<std::size_t>(kConnectionEnds));
     std::set<std::string> names;
     for (const auto& [end, outcome] : expected) {
--- a/tests/thrift/connection_table_test.cpp
+++ b/tests/thrift/connection_table_test.cpp
@@ -156,7 +156,7 @@
     ThriftConnection& connection = connect();
     for (int errors = 0; errors < 7; ++errors) connection.addProtocolError();
     EXPECT_FALSE(connection.hasTooManyProtocolErrors());
-    connection.resetProtocolErrors();
+    connection.noteServed();
     connection.addProtocolError();
     EXPECT_FALSE(connection.hasTooManyProtocolErrors());
     for (int errors = 0; errors < 7; ++errors) connection.addProtocolError();
