A request that is read after its deadline is no protocol error of its client

What callers saw: after a partition of 5 s their connections ended, and requests with 3 to 8 s left got no answer.

Cause: an overdue request counted as a protocol error; after eight the connection was read no more, with whole requests in its input.

Change: RequestError::DeadlinePassed is answered as before and not counted against the client. The order can't come about any more, as nothing that the network does adds to the count.

--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -141,8 +141,9 @@
             handleHealthCheck(connection, message);
             return true;
         case Method::Unknown:
-            if (!message.oneway)
-                rejectMessage(connection, message, ApplicationError::UnknownMethod, "no such method");
+            if (message.oneway) return true;
+            connection.addProtocolError();
+            rejectMessage(connection, message, ApplicationError::UnknownMethod, "no such method");
             return true;
     }
     return false;
@@ -150,15 +151,11 @@
 
 void ThriftServer::handleRequest(ThriftConnection& connection, const Message& message) {
     auto decoded = decoder_.decode(message, net::unixNow());
-    if (const auto* const error = std::get_if<RequestError>(&decoded)) {
-        if (*error == RequestError::DeadlinePassed) counters_.add(Count::OverdueRequests);
-        return rejectMessage(connection, message, ApplicationError::Internal, textOf(*error));
-    }
+    if (const auto* const error = std::get_if<RequestError>(&decoded))
+        return rejectRequest(connection, message, *error);
     auto& incoming = std::get<request::IncomingRequest>(decoded);
     const RequestId id = incoming.request.id;
-    if (requests_.contains(id))
-        return rejectMessage(connection, message, ApplicationError::Internal,
-                             textOf(RequestError::RequestInProgress));
+    if (requests_.contains(id)) return rejectRequest(connection, message, RequestError::RequestInProgress);
     connection.openRequest(message.sequence, id);
     inFlight_[id] = {&connection, message.sequence};
     requests_.accept(std::move(incoming));
@@ -184,13 +181,22 @@
         });
 }
 
+// That a request is read after its deadline is no error of its client: the network or this machine may have
+// held it back, and the timely requests behind it are owed their answers.
+void ThriftServer::rejectRequest(ThriftConnection& connection, const Message& message, RequestError error) {
+    if (error == RequestError::DeadlinePassed)
+        counters_.add(Count::OverdueRequests);
+    else
+        connection.addProtocolError();
+    rejectMessage(connection, message, ApplicationError::Internal, textOf(error));
+}
+
 void ThriftServer::rejectMessage(ThriftConnection& connection, const Message& message, ApplicationError error,
                                  const std::string& reason) {
     counters_.add(Count::MalformedRequests);
     log_.warn(kLogComponent,
               "invalid " + message.name.substr(0, kMaxLoggedNameBytes) + " message: " + reason);
     send(connection, writeApplicationException(message.name, message.sequence, error, reason));
-    connection.addProtocolError();
 }
 
 // Answering.
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -78,6 +78,7 @@
     void handleRequest(ThriftConnection& connection, const Message& message);
     void handleCancel(ThriftConnection& connection, const Message& message);
     void handleHealthCheck(ThriftConnection& connection, const Message& message);
+    void rejectRequest(ThriftConnection& connection, const Message& message, RequestError error);
     void rejectMessage(ThriftConnection& connection, const Message& message, ApplicationError error,
                        const std::string& reason);
 
