Answers have their memory set aside; connections with nothing open give way

What callers saw: connections of sound clients ended 150 ms after they had written their requests, without the answers, while bad clients sent messages that are shorter than their length says.

Cause: the buffers of all connections share one budget, and the connection that needed room next was ended, whoever held it.

Change: each connection is guaranteed the buffers that any valid request needs; the answer to a request is set aside before the request is accepted, and given back by its owner's destructor; connections that hold more than is guaranteed and have nothing open are ended when memory is short, the message that is incomplete for longest first. A connection with open requests is never ended for memory, so the order can't come about. An input that can't grow waits.

--- a/src/net/byte_ring.cpp
+++ b/src/net/byte_ring.cpp
@@ -13,14 +13,29 @@
 
 }  // namespace
 
-ByteRing::ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget)
-    : maxBytes_(maxBytes), budget_(std::move(budget)) {}
+ByteRing::ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget, std::size_t guaranteedBytes)
+    : maxBytes_(maxBytes), budget_(std::move(budget)), guaranteedBytes_(guaranteedBytes) {
+    setCapacity(0);
+}
+
+ByteRing::~ByteRing() { release(); }
+
+void ByteRing::release() {
+    size_ = 0;
+    head_ = 0;
+    guaranteedBytes_ = 0;
+    storage_.reset();
+    setCapacity(0);
+}
 
-ByteRing::~ByteRing() { setCapacity(0); }
+bool ByteRing::canWrite(std::size_t count) const {
+    return count <= freeBytes() && (size_ + count <= capacity_ || isAffordable(size_ + count));
+}
 
 bool ByteRing::write(std::string_view bytes) {
     if (bytes.size() > freeBytes()) return false;
-    if (size_ + bytes.size() > capacity_ && !grow(size_ + bytes.size())) return false;
+    const std::size_t wanted = size_ + bytes.size();
+    if (wanted > capacity_ && !grow(wanted) && !growTo(wanted)) return false;
     while (!bytes.empty()) {
         const std::span<char> free = prepare(bytes.size());
         const std::size_t count = std::min(free.size(), bytes.size());
@@ -67,16 +82,21 @@
 void ByteRing::drop(std::size_t count) {
     size_ -= count;
     head_ = size_ == 0 ? 0 : (head_ + count) % capacity_;
-    if (size_ == 0 && capacity_ > kMaxCapacityWhenEmptyBytes) {
+    const std::size_t keptBytes = guaranteedBytes_ > 0 ? guaranteedBytes_ : kMaxCapacityWhenEmptyBytes;
+    if (size_ == 0 && capacity_ > keptBytes) {
         storage_.reset();
         setCapacity(0);
     }
 }
 
+// Grows to at least what is wanted, in steps that are large enough for few copies.
 bool ByteRing::grow(std::size_t wanted) {
-    const std::size_t capacity =
-        std::min(maxBytes_, std::max({wanted, 2 * capacity_, kInitialCapacityBytes}));
-    if (budget_ != nullptr && budget_->usedBytes + capacity - capacity_ > budget_->limitBytes) return false;
+    return growTo(
+        std::min(maxBytes_, std::max({wanted, 2 * capacity_, kInitialCapacityBytes, guaranteedBytes_})));
+}
+
+bool ByteRing::growTo(std::size_t capacity) {
+    if (capacity <= capacity_ || !isAffordable(capacity)) return false;
     std::shared_ptr<char[]> storage(new char[capacity]);
     if (size_ > 0) {
         const std::string_view first = front();
@@ -89,8 +109,17 @@
     return true;
 }
 
+std::size_t ByteRing::chargeOf(std::size_t capacity) const { return std::max(capacity, guaranteedBytes_); }
+
+bool ByteRing::isAffordable(std::size_t capacity) const {
+    const std::size_t charge = chargeOf(capacity);
+    return budget_ == nullptr || charge <= chargedBytes_ || budget_->hasRoomFor(charge - chargedBytes_);
+}
+
 void ByteRing::setCapacity(std::size_t capacity) {
-    if (budget_ != nullptr) budget_->usedBytes += capacity - capacity_;
+    const std::size_t charge = chargeOf(capacity);
+    if (budget_ != nullptr) budget_->usedBytes += charge - chargedBytes_;
+    chargedBytes_ = charge;
     capacity_ = capacity;
 }
 
--- a/src/net/byte_ring.h
+++ b/src/net/byte_ring.h
@@ -13,15 +13,18 @@
 namespace cottonwing::net {
 
 /// A FIFO queue of bytes in a ring buffer, which grows on demand up to its own limit and within a memory
-/// budget that it may share with other rings. When the ring becomes empty, storage larger than 16 kB is
-/// freed.
+/// budget that it may share with other rings. A part of the budget can be guaranteed to the ring: it is set
+/// aside for its lifetime, so that growing up to it never fails. When the ring becomes empty, storage beyond
+/// that part is freed, or beyond 16 kB if nothing is guaranteed.
 ///
 /// Returned views are valid until the next call of a non-const member function.
 class ByteRing {
 public:
     /// @param maxBytes the largest number of bytes in the ring.
     /// @param budget charged with the capacity of the ring; if null, only maxBytes limits it.
-    explicit ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget = nullptr);
+    /// @param guaranteedBytes of the budget; at most maxBytes.
+    explicit ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget = nullptr,
+                      std::size_t guaranteedBytes = 0);
     ~ByteRing();
     ByteRing(const ByteRing&) = delete;
     ByteRing& operator=(const ByteRing&) = delete;
@@ -33,6 +36,12 @@
     /// The allocated storage in bytes.
     std::size_t capacity() const { return capacity_; }
 
+    /// The bytes of the budget that the ring holds beyond those that are guaranteed to it.
+    std::size_t bytesBeyondGuarantee() const { return chargedBytes_ - guaranteedBytes_; }
+
+    /// Whether write() would append this many bytes.
+    bool canWrite(std::size_t count) const;
+
     /// Appends all of the bytes, or none if they exceed the limit or the budget.
     /// @return whether the bytes were appended.
     bool write(std::string_view bytes);
@@ -59,16 +68,25 @@
     /// @param count at most size().
     void drop(std::size_t count);
 
+    /// Drops all bytes and frees the storage and the guaranteed part of the budget; for a ring that is not
+    /// used any more.
+    void release();
+
     /// Shares ownership of the current storage, so that a pending write can still read from it after the ring
     /// has grown.
     std::shared_ptr<char[]> pin() const { return storage_; }
 
 private:
     bool grow(std::size_t wanted);
+    bool growTo(std::size_t capacity);
+    std::size_t chargeOf(std::size_t capacity) const;
+    bool isAffordable(std::size_t capacity) const;
     void setCapacity(std::size_t capacity);
 
     std::size_t maxBytes_;
     std::shared_ptr<MemoryBudget> budget_;
+    std::size_t guaranteedBytes_;
+    std::size_t chargedBytes_ = 0;  // to the budget
     std::shared_ptr<char[]> storage_;
     std::size_t capacity_ = 0;
     std::size_t head_ = 0;  // offset of the first byte in the storage
--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -22,8 +22,8 @@
 Channel::Channel(Loop& loop, Connection* connection, const BufferLimits& limits)
     : loop_(loop),
       connection_(connection),
-      input_(limits.inputBytes, limits.budget),
-      output_(limits.outputBytes, limits.budget) {
+      input_(limits.inputBytes, limits.budget, limits.guaranteedInputBytes),
+      output_(limits.outputBytes, limits.budget, limits.guaranteedOutputBytes) {
     uv_tcp_init(loop_.uvLoop(), &tcp_);
     tcp_.data = this;
     connectRequest_.data = this;
@@ -73,7 +73,7 @@
     if (reading_ || !connected_ || state_ == State::Closed) return;
     const bool closing = state_ == State::Closing;
     if (closing && peerClosed_) return;
-    if (!closing && (inputStopped_ || readDeferred_ || isOutputHalfFull())) return;
+    if (!closing && (inputStopped_ || inputPaused_ || readDeferred_ || isOutputHalfFull())) return;
     reading_ = true;
     uv_read_start(
         asStream(tcp_),
@@ -97,13 +97,18 @@
     if (count == 0) return;  // libuv's equivalent of EAGAIN
     if (state_ == State::Closing) return discardInput(count);
     if (count == UV_EOF) return fail(ConnectionEnd::PeerClosed);
-    if (count == UV_ENOBUFS)  // the input buffer has no space
-        return fail(input_.freeBytes() == 0 ? ConnectionEnd::TooLong : ConnectionEnd::OutOfMemory);
+    if (count == UV_ENOBUFS) return noInputSpace();
     if (count < 0) return fail(ConnectionEnd::Reset);
     input_.commit(static_cast<std::size_t>(count));
     if (connection_ != nullptr) connection_->handler_.arrived(*connection_);
 }
 
+// The input buffer is full, or the budget that it shares does not allow it to grow.
+void Channel::noInputSpace() {
+    if (input_.freeBytes() == 0) return fail(ConnectionEnd::TooLong);
+    if (connection_ != nullptr) connection_->handler_.inputStarved(*connection_);
+}
+
 // While closing: a request that is read now could no longer be answered.
 void Channel::discardInput(ssize_t count) {
     if (count > 0) {
@@ -134,6 +139,23 @@
     if (connection_ != nullptr) connection_->handler_.arrived(*connection_);
 }
 
+void Channel::deferReadUntilWritten() {
+    if (output_.empty()) return deferRead();
+    if (state_ == State::Closed) return;
+    pauseReading();
+    readDeferred_ = true;  // outputWritten() schedules the reading
+}
+
+void Channel::pauseInput() {
+    inputPaused_ = true;
+    pauseReading();
+}
+
+void Channel::resumeInput() {
+    inputPaused_ = false;
+    resumeReading();
+}
+
 void Channel::stopInput() {
     inputStopped_ = true;
     pauseReading();
@@ -267,6 +289,9 @@
     connection_ = nullptr;
     closeTimer_.reset();
     if (isReferencedByLoop) loop_.remove(this);
+    // At once, as others may wait for the memory. A pending write keeps the storage that it reads from.
+    input_.release();
+    output_.release();
     return true;
 }
 
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -44,6 +44,11 @@
     void deferRead();
     /// Called by the loop in the turn after deferRead().
     void resumeDeferredRead();
+    /// Pauses reading until all output is written, as deferRead() does until the next turn.
+    void deferReadUntilWritten();
+    /// Pauses reading until resumeInput().
+    void pauseInput();
+    void resumeInput();
     /// Stops reading for good.
     void stopInput();
 
@@ -75,6 +80,7 @@
     void pauseReading();
     void onConnected(int status);
     void onRead(ssize_t count);
+    void noInputSpace();
     void discardInput(ssize_t count);
     void requestFlush();
     int tryWrite();
@@ -104,6 +110,7 @@
     bool reading_ = false;
     bool readDeferred_ = false;               // until the next turn
     bool inReadQueue_ = false;                // resumeDeferredRead() is scheduled
+    bool inputPaused_ = false;                // until resumeInput()
     bool inputStopped_ = false;               // permanently
     bool inFlushQueue_ = false;               // flush() is scheduled
     bool writePending_ = false;               // the socket was not writable; libuv writes when it is
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -31,6 +31,14 @@
 
 void Connection::deferRead() { channel_->deferRead(); }
 
+void Connection::pauseReading() { channel_->pauseInput(); }
+
+void Connection::resumeReading() { channel_->resumeInput(); }
+
+void Connection::deferReadUntilWritten() { channel_->deferReadUntilWritten(); }
+
+bool Connection::canSend(std::size_t bytes) const { return channel_->output().canWrite(bytes); }
+
 void Connection::stopReading() { channel_->stopInput(); }
 
 bool Connection::hasUnreadBytes() const { return channel_->hasUnreadBytes(); }
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -24,6 +24,9 @@
     std::size_t inputBytes;
     std::size_t outputBytes;
     std::shared_ptr<MemoryBudget> budget = nullptr;  ///< shared with other connections; null: no shared limit
+    /// Parts of the budget that are set aside for this connection, see ByteRing.
+    std::size_t guaranteedInputBytes = 0;
+    std::size_t guaranteedOutputBytes = 0;
 };
 
 /// Receives the events of a connection. Each function is called from the event loop and may destroy the
@@ -39,6 +42,10 @@
     /// Called when the peer or an error has ended the connection; the handler has to destroy it. Called at
     /// most once, and never after the owner has destroyed the connection or called closeGracefully().
     virtual void ended(Connection& connection, ConnectionEnd end) = 0;
+
+    /// Called when the budget that the connection shares does not allow its input to grow. The handler either
+    /// makes room, after which reading goes on, calls pauseReading(), or destroys the connection.
+    virtual void inputStarved(Connection& connection) { ended(connection, ConnectionEnd::OutOfMemory); }
 };
 
 /// A TCP connection. The owner closes it at once by destroying it, or gracefully with closeGracefully().
@@ -74,6 +81,17 @@
     /// again in that turn, even if no more bytes were received.
     void deferRead();
 
+    /// Pauses reading until resumeReading().
+    void pauseReading();
+    void resumeReading();
+
+    /// Pauses reading until all output is written. Then arrived() is called again, even if no more bytes were
+    /// received.
+    void deferReadUntilWritten();
+
+    /// Whether send() would take this many bytes.
+    bool canSend(std::size_t bytes) const;
+
     /// Stops reading for good. Output is still written.
     void stopReading();
 
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -1,9 +1,11 @@
 /// @file
-/// A memory limit that several buffers share.
+/// A memory limit that several buffers share, and the part of it that one owner holds.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <utility>
 
 namespace cottonwing::net {
 
@@ -11,6 +13,46 @@
 struct MemoryBudget {
     std::size_t limitBytes = SIZE_MAX;
     std::size_t usedBytes = 0;
+
+    /// Whether this much more can be allocated.
+    bool hasRoomFor(std::size_t bytes) const {
+        return usedBytes <= limitBytes && bytes <= limitBytes - usedBytes;
+    }
+};
+
+/// Memory of a budget that is set aside for a later use. The destructor gives it back.
+class MemoryReservation {
+public:
+    /// Holds nothing.
+    MemoryReservation() = default;
+    /// Takes the bytes in any case; the caller has asked MemoryBudget::hasRoomFor().
+    MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::size_t bytes)
+        : budget_(std::move(budget)), bytes_(bytes) {
+        budget_->usedBytes += bytes_;
+    }
+    ~MemoryReservation() { release(); }
+    MemoryReservation(MemoryReservation&& other) noexcept
+        : budget_(std::exchange(other.budget_, nullptr)), bytes_(std::exchange(other.bytes_, 0)) {}
+    MemoryReservation& operator=(MemoryReservation&& other) noexcept {
+        if (this == &other) return *this;
+        release();
+        budget_ = std::exchange(other.budget_, nullptr);
+        bytes_ = std::exchange(other.bytes_, 0);
+        return *this;
+    }
+    MemoryReservation(const MemoryReservation&) = delete;
+    MemoryReservation& operator=(const MemoryReservation&) = delete;
+
+    /// Gives the memory back.
+    void release() {
+        if (budget_ != nullptr) budget_->usedBytes -= bytes_;
+        budget_.reset();
+        bytes_ = 0;
+    }
+
+private:
+    std::shared_ptr<MemoryBudget> budget_;
+    std::size_t bytes_ = 0;
 };
 
 }  // namespace cottonwing::net
--- a/src/telemetry/counters.h
+++ b/src/telemetry/counters.h
@@ -23,6 +23,8 @@
     COUNTER(ConnectionsEvicted, "connections-evicted", "connections closed to make room for new ones")        \
     COUNTER(MalformedRequests, "requests-malformed",                                                          \
             "messages answered with an application exception; not among requests-read")                       \
+    COUNTER(AnswersTooLarge, "answers-too-large",                                                             \
+            "requests that completed, whose client was told that they failed as their result has no room")    \
     COUNTER(OverdueRequests, "requests-overdue",                                                              \
             "of the malformed: requests that were read after their client's timeout")                         \
     COUNTER(ConnectionsEndedInUse, "connections-ended-in-use",                                                \
--- a/src/thrift/connection_table.cpp
+++ b/src/thrift/connection_table.cpp
@@ -1,6 +1,8 @@
 #include "thrift/connection_table.h"
 
 #include <iterator>
+#include <optional>
+#include <tuple>
 #include <utility>
 
 namespace cottonwing::thrift {
@@ -52,6 +54,32 @@
     return {Action::Wait};
 }
 
+namespace {
+
+// Smaller values give way first.
+using MemoryRank = std::tuple<bool, bool, Timestamp>;
+
+MemoryRank memoryRankOf(const ThriftConnection& connection) {
+    const std::optional<Timestamp> messageStartedAt = connection.messageStartedAt();
+    return {connection.hasBeenServed(), !messageStartedAt.has_value(),
+            messageStartedAt.value_or(connection.lastUsedAt())};
+}
+
+}  // namespace
+
+ThriftConnection* ConnectionTable::findMemoryHolder(const ThriftConnection* except) const {
+    ThriftConnection* first = nullptr;
+    for (const ConnectionList* list : {&new_, &identified_}) {
+        for (const auto& connection : *list) {
+            if (connection.get() == except || connection->bytesBeyondGuarantee() == 0) continue;
+            if (connection->hasOpenRequests() || connection->hasCompleteMessage()) continue;
+            if (first == nullptr || memoryRankOf(*connection) < memoryRankOf(*first))
+                first = connection.get();
+        }
+    }
+    return first;
+}
+
 // A connection with unread bytes in the socket's receive buffer is not silent.
 ThriftConnection* ConnectionTable::findSilent(Timestamp now) const {
     for (const auto& connection : new_) {
--- a/src/thrift/connection_table.h
+++ b/src/thrift/connection_table.h
@@ -48,6 +48,12 @@
     /// @param closing  connections outside the table that still hold their descriptors
     AcceptDecision decideAccept(std::size_t closing, Timestamp now) const;
 
+    /// The connection that gives up its memory next; null if none has to. It holds more than is guaranteed to
+    /// each, and nothing is open on it. Those that were never served a request come first, and among them
+    /// incomplete messages, the one that began first; then output that its client does not read.
+    /// @param except  a connection that is in use by the caller, or null
+    ThriftConnection* findMemoryHolder(const ThriftConnection* except) const;
+
 private:
     ThriftConnection* findSilent(Timestamp now) const;
     ThriftConnection* findIdle() const;
--- a/src/thrift/thrift_connection.cpp
+++ b/src/thrift/thrift_connection.cpp
@@ -13,7 +13,13 @@
 
 constexpr std::size_t kMaxOpenRequests = 32;
 constexpr std::size_t kInputBytes = 32 << 10;
-constexpr std::size_t kOutputBytes = 256 << 10;
+constexpr std::size_t kOutputBytes = 320 << 10;
+// Any request with a body of 2 KiB, the largest that is accepted, is read in the guaranteed input; answers to
+// health checks and errors fit the guaranteed output.
+constexpr std::size_t kGuaranteedInputBytes = 4096;
+constexpr std::size_t kGuaranteedOutputBytes = 2048;
+// A connection is read while its output is less than half full. What it is then owed fits the other half.
+static_assert((kMaxOpenRequests + 1) * kReservedAnswerBytes + kMaxControlFrameBytes <= kOutputBytes / 2);
 constexpr int kMaxProtocolErrors = 8;
 constexpr Duration kMessageTimeout = 1500ms;  // from the first byte of a message to its last
 constexpr Duration kOutputTimeout = 2s;       // without the client reading any output
@@ -24,7 +30,9 @@
 ThriftConnection::ThriftConnection(net::Loop& loop, net::PendingConnection socket, Handler& handler,
                                    std::shared_ptr<net::MemoryBudget> bufferBudget)
     : handler_(handler),
-      connection_(loop, socket, *this, {kInputBytes, kOutputBytes, std::move(bufferBudget)}),
+      connection_(loop, socket, *this,
+                  {kInputBytes, kOutputBytes, std::move(bufferBudget), kGuaranteedInputBytes,
+                   kGuaranteedOutputBytes}),
       acceptedAt_(net::unixNow()),
       lastUsedAt_(acceptedAt_) {}
 
@@ -34,6 +42,14 @@
     handler_.connectionEnded(*this, end);
 }
 
+void ThriftConnection::inputStarved(net::Connection& /*connection*/) { handler_.inputStarved(*this); }
+
+std::size_t ThriftConnection::bytesBeyondGuarantee() const {
+    return connection_.input().bytesBeyondGuarantee() + connection_.output().bytesBeyondGuarantee();
+}
+
+std::size_t ThriftConnection::guaranteedBytes() { return kGuaranteedInputBytes + kGuaranteedOutputBytes; }
+
 // Bytes that do not complete a message are not counted as use, and do not extend the message's timeout.
 void ThriftConnection::noteIncompleteMessage(bool newMessage, Timestamp now) {
     if (input().empty())
@@ -66,13 +82,20 @@
 std::optional<RequestId> ThriftConnection::closeRequest(std::int32_t sequence) {
     const auto open = openRequests_.find(sequence);
     if (open == openRequests_.end()) return std::nullopt;
-    const RequestId id = open->second;
+    const RequestId id = open->second.id;
     openRequests_.erase(open);
     return id;
 }
 
-std::map<std::int32_t, RequestId> ThriftConnection::closeAllRequests() {
-    return std::exchange(openRequests_, {});
+std::vector<RequestId> ThriftConnection::closeAllRequests() {
+    std::vector<RequestId> ids;
+    for (const auto& [sequence, request] : std::exchange(openRequests_, {})) ids.push_back(request.id);
+    return ids;
+}
+
+bool ThriftConnection::hasCompleteMessage() const {
+    std::size_t length = 0;
+    return peekFrame(connection_.input(), length) == FrameState::Complete;
 }
 
 bool ThriftConnection::isIdle() const {
@@ -101,9 +124,10 @@
 
 // The goaway does not count as use of the connection.
 void ThriftConnection::drain(Timestamp now) {
-    if (drainingSince_) return;
+    const std::string goaway = writeGoaway();
+    if (drainingSince_ || !connection_.canSend(goaway.size())) return;
     drainingSince_ = now;
-    connection_.send(writeGoaway());
+    connection_.send(goaway);
 }
 
 std::string ThriftConnection::describe() const {
--- a/src/thrift/thrift_connection.h
+++ b/src/thrift/thrift_connection.h
@@ -10,6 +10,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "net/connection.h"
 #include "overload/types.h"
@@ -18,6 +20,11 @@
 
 class ThriftConnection;
 
+/// The memory that is set aside for the answer to an open request: a result of 4 KiB with its fields.
+inline constexpr std::size_t kReservedAnswerBytes = 4096 + 512;
+/// The largest answer to a message that is not a request, or is not accepted as one.
+inline constexpr std::size_t kMaxControlFrameBytes = 1024;
+
 /// The connections of a server, in the order that ConnectionTable maintains.
 using ConnectionList = std::list<std::shared_ptr<ThriftConnection>>;
 
@@ -36,6 +43,8 @@
         virtual void inputArrived(ThriftConnection& connection) = 0;
         /// The peer or an error has ended the connection.
         virtual void connectionEnded(ThriftConnection& connection, net::ConnectionEnd end) = 0;
+        /// The shared memory does not allow the input to grow, see net::ConnectionHandler::inputStarved().
+        virtual void inputStarved(ThriftConnection& connection) = 0;
     };
 
     /// Accepts a pending connection of a listener.
@@ -73,16 +82,36 @@
 
     // Open requests, by sequence number.
     bool canOpenRequest(std::int32_t sequence) const;
-    void openRequest(std::int32_t sequence, RequestId id) { openRequests_.emplace(sequence, id); }
+    /// @param answerMemory  set aside for the answer until the request is closed
+    void openRequest(std::int32_t sequence, RequestId id, net::MemoryReservation answerMemory = {}) {
+        openRequests_.emplace(sequence, OpenRequest{id, std::move(answerMemory)});
+    }
     /// Removes an open request and returns its id; nothing if it was not open.
     std::optional<RequestId> closeRequest(std::int32_t sequence);
-    /// Removes and returns all open requests.
-    std::map<std::int32_t, RequestId> closeAllRequests();
+    /// Removes all open requests and returns their ids.
+    std::vector<RequestId> closeAllRequests();
     bool hasOpenRequests() const { return !openRequests_.empty(); }
+    /// Whether the input begins with a complete message, which is processed in the next turn.
+    bool hasCompleteMessage() const;
     /// Whether there are no open requests and no unprocessed or unread input.
     bool isIdle() const;
 
+    // Shared memory.
+    /// The bytes of its buffers beyond those that are guaranteed to each connection.
+    std::size_t bytesBeyondGuarantee() const;
+    /// The memory that is guaranteed to each connection.
+    static std::size_t guaranteedBytes();
+    /// When the incomplete message at the end of the input began; nothing if there is none.
+    std::optional<Timestamp> messageStartedAt() const { return messageStartedAt_; }
+    /// Pauses reading until resumeReading(), as the input can't grow.
+    void pauseReading() { connection_.pauseReading(); }
+    void resumeReading() { connection_.resumeReading(); }
+
     // Output.
+    /// Whether the buffer and the shared memory have room for a frame.
+    bool canSend(std::size_t bytes) const { return connection_.canSend(bytes); }
+    /// Pauses reading until all output is written; then inputArrived() is called again.
+    void deferReadUntilWritten() { connection_.deferReadUntilWritten(); }
     /// Sends a frame and starts to monitor that the client reads it.
     void send(const std::string& frame);
     bool hasOutput() const { return !connection_.output().empty(); }
@@ -94,7 +123,7 @@
 
     // Draining.
     /// Sends a goaway, once, which asks the client to send no new requests. Requests that the client sent
-    /// before it read the goaway are still served.
+    /// before it read the goaway are still served. Without effect while there is no room for the goaway.
     void drain(Timestamp now);
     bool isDraining() const { return drainingSince_.has_value(); }
     /// Whether the connection is idle, and the client has not closed it in time after the goaway.
@@ -119,7 +148,13 @@
 private:
     friend class ConnectionTable;  // maintains position_, identified_ and lastUsedAt_
 
+    struct OpenRequest {
+        RequestId id;
+        net::MemoryReservation answerMemory;
+    };
+
     void arrived(net::Connection& connection) override;
+    void inputStarved(net::Connection& connection) override;
     void ended(net::Connection& connection, net::ConnectionEnd end) override;
 
     Handler& handler_;
@@ -128,7 +163,7 @@
     bool identified_ = false;
     Timestamp acceptedAt_;
     Timestamp lastUsedAt_;
-    std::map<std::int32_t, RequestId> openRequests_;
+    std::map<std::int32_t, OpenRequest> openRequests_;
     std::optional<Timestamp> messageStartedAt_;  // of the incomplete message
     std::optional<Timestamp> outputProgressAt_;  // last progress of the output; empty without output
     std::size_t outputBytes_ = 0;                // pending at the last observeOutput()
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -17,6 +17,7 @@
 constexpr char kLogComponent[] = "thrift";
 constexpr char kEndLogComponent[] = "connection";  // its own, as messages to reject may suppress many lines
 constexpr std::size_t kMaxLoggedNameBytes = 40;    // of a method name from a client
+constexpr std::size_t kMaxEchoedNameBytes = 256;   // of a method name, in the answer to an invalid message
 constexpr int kMaxMessagesPerTurn = 64;            // per connection; the rest is read in the next turn
 constexpr Duration kFirstMessageTimeout = 1500ms;  // from acceptance to the first complete message
 constexpr Duration kSweepInterval = 100ms;
@@ -61,13 +62,14 @@
 }
 
 bool ThriftServer::ensureCapacity() {
+    if (!makeRoom(ThriftConnection::guaranteedBytes(), nullptr)) return false;
     using Action = AcceptDecision::Action;
     const AcceptDecision decision = connections_.decideAccept(*closing_, net::unixNow());
     switch (decision.action) {
         case Action::Accept:
             return true;
         case Action::EvictAndAccept:
-            evict(*decision.connection);
+            evict(*decision.connection, net::ConnectionEnd::Unused);
             return true;
         case Action::CloseIdleThenWait:
             closeGracefully(*decision.connection, net::ConnectionEnd::Unused);
@@ -78,9 +80,33 @@
     return false;
 }
 
-void ThriftServer::evict(ThriftConnection& connection) {
+void ThriftServer::evict(ThriftConnection& connection, net::ConnectionEnd end) {
     counters_.add(Count::ConnectionsEvicted);
-    abort(connection, net::ConnectionEnd::Unused);
+    abort(connection, end);
+}
+
+// Frees shared memory until the bytes have room, at the cost of connections on which nothing is open. Returns
+// whether they have.
+bool ThriftServer::makeRoom(std::size_t bytes, const ThriftConnection* inUse) {
+    while (!bufferBudget_->hasRoomFor(bytes)) {
+        ThriftConnection* const holder = connections_.findMemoryHolder(inUse);
+        if (holder == nullptr) return false;
+        evict(*holder, net::ConnectionEnd::OutOfMemory);
+    }
+    return true;
+}
+
+// Whether a frame of that size can be sent, if need be after others gave way.
+bool ThriftServer::ensureOutputRoom(ThriftConnection& connection, std::size_t bytes) {
+    return connection.canSend(bytes) || (makeRoom(bytes, &connection) && connection.canSend(bytes));
+}
+
+// Reading goes on in the next turn if a connection gave way, and is tried again with the next sweep if none
+// has to.
+void ThriftServer::inputStarved(ThriftConnection& connection) {
+    ThriftConnection* const holder = connections_.findMemoryHolder(nullptr);
+    if (holder == nullptr) return connection.pauseReading();
+    evict(*holder, net::ConnectionEnd::OutOfMemory);
 }
 
 void ThriftServer::resumeAccepting() {
@@ -93,6 +119,7 @@
     if (connection.readingStopped()) return;
     for (int messages = 0;; ++messages) {
         if (messages == kMaxMessagesPerTurn || connection.isOutputHalfFull()) return connection.deferRead();
+        if (!ensureOutputRoom(connection, kMaxControlFrameBytes)) return connection.deferReadUntilWritten();
         std::size_t length = 0;
         const FrameState state = peekFrame(connection.input(), length);
         if (state == FrameState::Partial)
@@ -156,11 +183,20 @@
     auto& incoming = std::get<request::IncomingRequest>(decoded);
     const RequestId id = incoming.request.id;
     if (requests_.contains(id)) return rejectRequest(connection, message, RequestError::RequestInProgress);
-    connection.openRequest(message.sequence, id);
+    // What the client is owed is set aside before it is promised.
+    if (!makeRoom(kReservedAnswerBytes, &connection)) return rejectForMemory(connection, message);
+    connection.openRequest(message.sequence, id, {bufferBudget_, kReservedAnswerBytes});
     inFlight_[id] = {&connection, message.sequence};
     requests_.accept(std::move(incoming));
 }
 
+void ThriftServer::rejectForMemory(ThriftConnection& connection, const Message& message) {
+    counters_.add(Count::RequestsRead);
+    counters_.add(Count::Rejected);
+    counters_.add(Count::RejectedForMemory);
+    send(connection, writeBusy(message.sequence, loadShareFields()));
+}
+
 // Without effect if the request is already answered: the response and the cancellation crossed on the wire.
 void ThriftServer::handleCancel(ThriftConnection& connection, const Message& message) {
     counters_.add(Count::CancelMessages);
@@ -196,7 +232,8 @@
     counters_.add(Count::MalformedRequests);
     log_.warn(kLogComponent,
               "invalid " + message.name.substr(0, kMaxLoggedNameBytes) + " message: " + reason);
-    send(connection, writeApplicationException(message.name, message.sequence, error, reason));
+    const std::string name = message.name.substr(0, kMaxEchoedNameBytes);
+    send(connection, writeApplicationException(name, message.sequence, error, reason));
 }
 
 // Answering.
@@ -233,8 +270,14 @@
     if (found == inFlight_.end()) return;
     const auto [connection, sequence] = found->second;
     inFlight_.erase(found);
-    connection->closeRequest(sequence);
-    send(*connection, frame(sequence));
+    connection->closeRequest(sequence);  // the memory that was set aside is for this answer
+    std::string bytes = frame(sequence);
+    // Only a result beyond the size that the protocol allows has no room.
+    if (!ensureOutputRoom(*connection, bytes.size())) {
+        counters_.add(Count::AnswersTooLarge);
+        bytes = writeFailed(sequence, loadShareFields());
+    }
+    send(*connection, bytes);
 }
 
 void ThriftServer::answerHealthCheck(ThriftConnection& connection, std::int32_t sequence, bool healthy) {
@@ -243,6 +286,7 @@
 
 void ThriftServer::send(ThriftConnection& connection, const std::string& frame) {
     connections_.touch(connection, net::unixNow());
+    ensureOutputRoom(connection, frame.size());
     connection.send(frame);
 }
 
@@ -300,7 +344,7 @@
 
 // Cancels the open requests of the connection and destroys it.
 void ThriftServer::remove(ThriftConnection& connection) {
-    for (const auto& [sequence, id] : connection.closeAllRequests()) {
+    for (const RequestId id : connection.closeAllRequests()) {
         inFlight_.erase(id);
         requests_.clientCancelled(id);
     }
@@ -313,6 +357,9 @@
 void ThriftServer::sweep() {
     const Timestamp now = net::unixNow();
     sweepTimer_.start(kSweepInterval);
+    forEachConnection([](ThriftConnection& connection) { connection.resumeReading(); });
+    // A goaway that had no room is sent now.
+    if (!listener_) forEachConnection([now](ThriftConnection& connection) { connection.drain(now); });
     closeSilentConnections(now);
     const ConnectionList& identified = connections_.identified();
     for (auto next = identified.begin(); next != identified.end();) {
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -66,16 +66,20 @@
 
     void inputArrived(ThriftConnection& connection) override;
     void connectionEnded(ThriftConnection& connection, net::ConnectionEnd end) override;
+    void inputStarved(ThriftConnection& connection) override;
 
     void accept(net::PendingConnection socket);
     bool ensureCapacity();
-    void evict(ThriftConnection& connection);
+    void evict(ThriftConnection& connection, net::ConnectionEnd end);
+    bool ensureOutputRoom(ThriftConnection& connection, std::size_t bytes);
+    bool makeRoom(std::size_t bytes, const ThriftConnection* inUse);
     void resumeAccepting();
 
     std::optional<Message> takeMessage(ThriftConnection& connection, std::size_t length);
     void abortMalformed(ThriftConnection& connection, net::ConnectionEnd end);
     bool handle(ThriftConnection& connection, const Message& message);
     void handleRequest(ThriftConnection& connection, const Message& message);
+    void rejectForMemory(ThriftConnection& connection, const Message& message);
     void handleCancel(ThriftConnection& connection, const Message& message);
     void handleHealthCheck(ThriftConnection& connection, const Message& message);
     void rejectRequest(ThriftConnection& connection, const Message& message, RequestError error);
--- a/tests/net/byte_ring_test.cpp
+++ b/tests/net/byte_ring_test.cpp
@@ -57,6 +57,40 @@
     EXPECT_EQ(budget->usedBytes, 0U);
 }
 
+TEST(ByteRing, CanAlwaysGrowToWhatIsGuaranteed) {
+    const auto budget = std::make_shared<MemoryBudget>(MemoryBudget{8192, 0});
+    {
+        ByteRing guaranteed(1 << 20, budget, 3000);
+        EXPECT_EQ(budget->usedBytes, 3000U);
+        ByteRing other(1 << 20, budget);
+        ASSERT_TRUE(other.write(std::string(5192, 'x')));
+        EXPECT_FALSE(other.canWrite(1));
+        EXPECT_TRUE(guaranteed.canWrite(3000));
+        EXPECT_FALSE(guaranteed.canWrite(3001));
+        ASSERT_TRUE(guaranteed.write(std::string(3000, 'y')));
+        EXPECT_EQ(guaranteed.bytesBeyondGuarantee(), 0U);
+        other.release();
+        ASSERT_TRUE(guaranteed.write(std::string(4000, 'z')));
+        EXPECT_GE(guaranteed.bytesBeyondGuarantee(), 4000U);
+        guaranteed.drop(guaranteed.size());
+        EXPECT_EQ(budget->usedBytes, 3000U);
+    }
+    EXPECT_EQ(budget->usedBytes, 0U);
+}
+
+TEST(MemoryReservation, GivesItsMemoryBackOnce) {
+    const auto budget = std::make_shared<MemoryBudget>(MemoryBudget{100, 0});
+    {
+        MemoryReservation first(budget, 60);
+        EXPECT_TRUE(budget->hasRoomFor(40));
+        EXPECT_FALSE(budget->hasRoomFor(41));
+        const MemoryReservation moved = std::move(first);
+        first.release();
+        EXPECT_EQ(budget->usedBytes, 60U);
+    }
+    EXPECT_EQ(budget->usedBytes, 0U);
+}
+
 TEST(ByteRing, FindsAndPeeksBytesThatWrapAround) {
     ByteRing ring(8);
     ASSERT_TRUE(ring.write("abcdef"));
--- a/tests/thrift/connection_table_test.cpp
+++ b/tests/thrift/connection_table_test.cpp
@@ -22,6 +22,7 @@
 struct IgnoringHandler : ThriftConnection::Handler {
     void inputArrived(ThriftConnection& /*connection*/) override {}
     void connectionEnded(ThriftConnection& /*connection*/, net::ConnectionEnd /*end*/) override {}
+    void inputStarved(ThriftConnection& /*connection*/) override {}
 };
 
 // Clients connect to a listener that adds the accepted connections to the table.
@@ -32,7 +33,7 @@
         const std::size_t before = table.size();
         const net::Address address{"127.0.0.1", listener.port()};
         clients.push_back(
-            std::make_unique<net::Connection>(loop, address, clientHandler, net::BufferLimits{1024, 1024}));
+            std::make_unique<net::Connection>(loop, address, clientHandler, net::BufferLimits{1024, 16384}));
         testing::runUntil(loop, [&] { return table.size() > before; });
         return *table.newConnections().back();
     }
@@ -109,6 +110,33 @@
     EXPECT_EQ(table.decideAccept(0, later()).action, Action::EvictAndAccept);
 }
 
+TEST_F(ConnectionTableTest, MemoryIsGivenUpByThoseWithNothingOpen) {
+    const auto connectWithInput = [&](const std::string& bytes,
+                                      Timestamp messageStartedAt) -> ThriftConnection& {
+        ThriftConnection& connection = connect();
+        clients.back()->send(bytes);
+        testing::runUntil(loop, [&] { return connection.input().size() == bytes.size(); });
+        connection.noteIncompleteMessage(true, messageStartedAt);
+        return connection;
+    };
+    const std::string header("\0\0\x20\0", 4);  // of a frame of 8,192 bytes
+    const std::string incomplete = header + std::string(8000, 'x');
+    connectWithInput(header, 1s);                           // within what is guaranteed
+    connectWithInput(header + std::string(8192, 'x'), 1s);  // a complete message
+    connectWithInput(incomplete, 1s).openRequest(1, 55);
+    ThriftConnection& served = connectWithInput(incomplete, 1s);
+    served.noteServed();
+    ThriftConnection& young = connectWithInput(incomplete, 3s);
+    ThriftConnection& old = connectWithInput(incomplete, 2s);
+    EXPECT_EQ(table.findMemoryHolder(nullptr), &old);
+    EXPECT_EQ(table.findMemoryHolder(&old), &young);
+    table.remove(old);
+    table.remove(young);
+    EXPECT_EQ(table.findMemoryHolder(nullptr), &served);
+    table.remove(served);
+    EXPECT_EQ(table.findMemoryHolder(nullptr), nullptr);
+}
+
 TEST_F(ConnectionTableTest, RemovesNewAndIdentifiedConnections) {
     ThriftConnection& identified = connectIdentified();
     ThriftConnection& fresh = connect();
