An SCGI request that was answered is read no more, and its bytes are accounted once

What callers saw: 408 and then the result of a run of the same request; afterwards 503 for every request. Beside 400 clients that write a byte each 20 ms, 97 of 98 sound requests got 503 with 6 of 32 MB resident.

Cause: a connection was read on after its answer, so a late last byte passed the request on; its bytes were taken off the account twice, which wrapped around.

Change: ClientConnection::isReading decides for every path; a reservation of the connection holds the account.

--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -43,10 +43,20 @@
     MemoryReservation(const MemoryReservation&) = delete;
     MemoryReservation& operator=(const MemoryReservation&) = delete;
 
+    std::size_t bytes() const { return bytes_; }
+
+    /// Changes the size, if the budget has room for what is added.
+    /// @return whether the size was changed.
+    bool resize(std::size_t bytes) {
+        if (bytes > bytes_ && !budget_->hasRoomFor(bytes - bytes_)) return false;
+        budget_->usedBytes += bytes - bytes_;
+        bytes_ = bytes;
+        return true;
+    }
+
     /// Gives the memory back.
     void release() {
         if (budget_ != nullptr) budget_->usedBytes -= bytes_;
-        budget_.reset();
         bytes_ = 0;
     }
 
--- a/src/scgi/scgi_server.cpp
+++ b/src/scgi/scgi_server.cpp
@@ -35,23 +35,20 @@
         : server(theServer),
           reader(theServer.config_.requestLimits),
           connection(std::make_unique<net::Connection>(
-              theServer.loop_, socket, *this, net::BufferLimits{32768, 2 << 20, theServer.memoryBudget_})) {}
+              theServer.loop_, socket, *this, net::BufferLimits{32768, 2 << 20, theServer.memoryBudget_})),
+          bodyMemory(theServer.bodyBudget_, 0) {}
     void arrived(net::Connection& from) override {
         while (connection && !from.input().empty()) {
             const std::string_view piece = from.input().front();
-            if (reader.state() == RequestReader::State::Complete ||
-                reader.state() == RequestReader::State::Malformed) {
-                from.input().drop(piece.size());  // bytes after the end of the request are discarded
+            if (!isReading()) {
+                from.input().drop(piece.size());
                 continue;
             }
             const bool headWasComplete = reader.state() == RequestReader::State::Body;
-            const std::size_t bytesBefore = reader.bufferedBytes();
             const std::size_t taken = reader.read(piece);
             from.input().drop(std::max<std::size_t>(taken, 1));
-            server.incompleteBodyBytes_ += reader.bufferedBytes() - bytesBefore;
-            accountedBytes = reader.bufferedBytes();
             if (!headWasComplete && reader.state() != RequestReader::State::Head) headReadAt = net::unixNow();
-            if (server.incompleteBodyBytes_ > server.config_.maxBufferedBytes)
+            if (!bodyMemory.resize(reader.bufferedBytes()))
                 return server.respondWithError(*this, 503, "NR", "no room for more bodies");
             if (reader.state() == RequestReader::State::Malformed) {
                 ++server.counters_.malformed;
@@ -68,15 +65,19 @@
         server.close(*this);
     }
 
+    // Whether its request is still being read: it was neither passed on nor answered. Everything that follows
+    // is discarded, as a request that was answered must not run.
+    bool isReading() const { return !requestId && !responded; }
+
     ScgiServer& server;
     RequestReader reader;
     Duration openedAt = net::unixNow(), headReadAt{0}, respondedAt{0};
     std::optional<RequestId> requestId;  // from when the request is passed on until its response
-    std::size_t accountedBytes = 0;
     bool responded = false;
     Duration deadline{0};
     std::list<std::unique_ptr<ClientConnection>>::iterator position;
     std::unique_ptr<net::Connection> connection;
+    net::MemoryReservation bodyMemory;  // of the head and body until they are passed on or answered
 };
 
 ScgiServer::ScgiServer(net::Loop& loop, ScgiServerConfig config, routing::RouteTable routes,
@@ -87,6 +88,7 @@
       routes_(std::move(routes)),
       requestClasses_(std::move(requestClasses)),
       memoryBudget_(std::make_shared<net::MemoryBudget>(net::MemoryBudget{config_.maxBufferedBytes, 0})),
+      bodyBudget_(std::make_shared<net::MemoryBudget>(net::MemoryBudget{config_.maxBufferedBytes, 0})),
       randomGenerator_(seed ^ 0x5c61),
       requests_(requests),
       log_(log),
@@ -169,7 +171,7 @@
 void ScgiServer::requestComplete(ClientConnection& client) {
     ++counters_.complete;
     const std::string reason = submit(client);
-    incompleteBodyBytes_ -= std::exchange(client.accountedBytes, 0);
+    client.bodyMemory.release();
     if (reason.empty()) return;
     ++counters_.noRoute;
     respondWithError(client, 404, "NO", reason);
@@ -177,12 +179,12 @@
 
 void ScgiServer::respondWithError(ClientConnection& client, int status, const char* code,
                                   const std::string& reason) {
-    if (client.responded) return;
+    if (!client.isReading()) return;
     if (status == 503) ++counters_.noCapacity;
     log_.warn("scgi", std::string(code) + " " + std::to_string(status) + ": " + reason);
     client.responded = true;
     client.respondedAt = net::unixNow();
-    incompleteBodyBytes_ -= std::exchange(client.accountedBytes, 0);
+    client.bodyMemory.release();
     client.connection->send(writeReply(status, {{"Content-Type", "text/plain"}},
                                        std::string(reasonPhrase(status)) + ": " + reason + "\n"));
 }
@@ -227,7 +229,7 @@
 }
 
 void ScgiServer::close(ClientConnection& client) {
-    incompleteBodyBytes_ -= std::exchange(client.accountedBytes, 0);
+    client.bodyMemory.release();
     if (client.requestId) {
         clientsByRequest_.erase(*client.requestId);
         requests_.clientCancelled(*client.requestId);
--- a/src/scgi/scgi_server.h
+++ b/src/scgi/scgi_server.h
@@ -84,7 +84,8 @@
     const ScgiServerConfig config_;
     const routing::RouteTable routes_;
     const std::vector<RequestClass> requestClasses_;
-    const std::shared_ptr<net::MemoryBudget> memoryBudget_;
+    const std::shared_ptr<net::MemoryBudget> memoryBudget_;  // of the buffers of connections
+    const std::shared_ptr<net::MemoryBudget> bodyBudget_;    // of heads and bodies of incomplete requests
     std::mt19937_64 randomGenerator_;
     request::RequestManager& requests_;
     telemetry::Log& log_;
@@ -93,7 +94,6 @@
     std::list<std::unique_ptr<ClientConnection>> clients_;
     std::vector<std::unique_ptr<ClientConnection>> closedClients_;  // destroyed by the next timeout check
     std::unordered_map<RequestId, ClientConnection*> clientsByRequest_;
-    std::size_t incompleteBodyBytes_ = 0;  // in heads and bodies of requests that are not complete
     int port_ = 0;
     net::Timer timeoutTimer_;
     std::unique_ptr<net::Listener> listener_;
