Requests that are not finished give way on both fronts; an SCGI head takes what it has bytes

Change: heads stay as received; the account is what is allocated. Who has nothing open gives way on both fronts, the request that was begun first before others, the never served before the served; SCGI answers 503 with Retry-After. Each SCGI connection is guaranteed its smallest buffers.

ScgiClients.UnfinishedRequestsGiveWayToOthers and ConnectionTableTest.WhenFullUnfinishedMessagesOfTheNeverServedGiveWayFirst fail before; 56 tests of both fronts pass.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
+
 // A peer normally closes its side as soon as it reads our end of stream; a peer that does not is not waited
 // for any longer.
 constexpr Duration kCloseTimeout = std::chrono::seconds(1);
@@ -168,6 +170,13 @@
     return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void Channel::discardReceived() const {
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&tcp_), &descriptor) != 0) return;
+    // MSG_TRUNC: the bytes are not copied.
+    recv(descriptor, nullptr, kMaxDiscardedBytes, MSG_TRUNC | MSG_DONTWAIT);
+}
+
 void Channel::send(std::string_view bytes) {
     const bool isTooLong = bytes.size() > output_.freeBytes();
     const bool fits = output_.write(bytes);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -98,6 +98,10 @@
     /// Whether the socket's receive buffer holds bytes that have not been read yet.
     bool hasUnreadBytes() const;
 
+    /// Discards received bytes that have not been read, for use just before the connection is destroyed: with
+    /// unread bytes the system would reset the connection.
+    void discardReceived();
+
     /// Writes as much output as the socket accepts without blocking, for use just before the connection is
     /// destroyed. Errors are not reported.
     void tryFlush();
--- a/src/scgi/scgi_server.cpp
+++ b/src/scgi/scgi_server.cpp
@@ -12,6 +12,15 @@
 namespace {
 
 constexpr Duration kTimeoutCheckInterval = 20ms;
+constexpr std::size_t kInputBytes = 32 << 10;
+constexpr std::size_t kOutputBytes = 2 << 20;
+// Parts of the shared memory that each connection is guaranteed: requests are read in pieces, and each error
+// reply fits the output.
+constexpr std::size_t kGuaranteedInputBytes = 4096;
+constexpr std::size_t kGuaranteedOutputBytes = 2048;
+// A client that connected this recently may be about to send its request.
+constexpr Duration kGiveWayGracePeriod = 100ms;
+constexpr char kRetryAfterSeconds[] = "1";
 
 std::optional<double> parseNonNegative(std::optional<std::string_view> text) {
     if (!text) return std::nullopt;
@@ -35,7 +44,9 @@
         : server(theServer),
           reader(theServer.config_.requestLimits),
           connection(std::make_unique<net::Connection>(
-              theServer.loop_, socket, *this, net::BufferLimits{32768, 2 << 20, theServer.memoryBudget_})),
+              theServer.loop_, socket, *this,
+              net::BufferLimits{kInputBytes, kOutputBytes, theServer.memoryBudget_, kGuaranteedInputBytes,
+                                kGuaranteedOutputBytes})),
           bodyMemory(theServer.bodyBudget_, 0) {}
     void arrived(net::Connection& from) override {
         while (connection && !from.input().empty()) {
@@ -48,8 +59,7 @@
             const std::size_t taken = reader.read(piece);
             from.input().drop(std::max<std::size_t>(taken, 1));
             if (!headWasComplete && reader.state() != RequestReader::State::Head) headReadAt = net::unixNow();
-            if (!bodyMemory.resize(reader.bufferedBytes()))
-                return server.respondWithError(*this, 503, "NR", "no room for more bodies");
+            if (!server.reserveBody(*this)) return;
             if (reader.state() == RequestReader::State::Malformed) {
                 ++server.counters_.malformed;
                 return server.respondWithError(*this, statusOf(reader.error()), "BR", nameOf(reader.error()));
@@ -63,6 +73,7 @@
             server.log_.debug("scgi", std::string("CL client disconnected: ") + net::nameOf(end));
         }
         server.close(*this);
+        server.resumeAccepting();
     }
 
     // Whether its request is still being read: it was neither passed on nor answered. Everything that follows
@@ -95,7 +106,7 @@
       timeoutTimer_(loop, [this] { checkTimeouts(); }) {
     listener_ = std::make_unique<net::Listener>(
         loop, config_.listen, [this](net::PendingConnection socket) { accept(socket); },
-        [this] { return clients_.size() >= config_.maxConnections; });
+        [this] { return !ensurePlace(); });
     port_ = listener_->port();
     timeoutTimer_.start(kTimeoutCheckInterval);
 }
@@ -108,11 +119,52 @@
     clients_.back()->position = std::prev(clients_.end());
 }
 
+bool ScgiServer::hasPlace() const {
+    return clients_.size() < config_.maxConnections &&
+           memoryBudget_->hasRoomFor(kGuaranteedInputBytes + kGuaranteedOutputBytes);
+}
+
+// Whether one more client can be accepted, if need be after another has given way.
+bool ScgiServer::ensurePlace() {
+    if (hasPlace()) return true;
+    const Timestamp acceptedBefore = net::unixNow() - kGiveWayGracePeriod;
+    for (const auto& client : clients_) {
+        if (client->openedAt > acceptedBefore) return false;
+        if (!client->isReading()) continue;
+        shed(*client, "no place for more clients");
+        client->connection->discardReceived();  // unread bytes would cost the client its answer
+        close(*client);
+        return hasPlace();
+    }
+    return false;
+}
+
+void ScgiServer::resumeAccepting() {
+    if (listener_) listener_->resume();
+}
+
+// Reserves the memory that the client's incomplete request takes. If there is none, the requests that have
+// been read for longest give way. Returns false if the client's own had to.
+bool ScgiServer::reserveBody(ClientConnection& client) {
+    while (!client.bodyMemory.resize(client.reader.bufferedBytes())) {
+        const auto holder = std::find_if(clients_.begin(), clients_.end(), [&client](const auto& other) {
+            return other->isReading() && (other->bodyMemory.bytes() > 0 || other.get() == &client);
+        });
+        shed(**holder, "no room for more bodies");
+        if (holder->get() == &client) return false;
+    }
+    return true;
+}
+
+void ScgiServer::shed(ClientConnection& client, const char* reason) {
+    ++counters_.gaveWay;
+    respondWithError(client, 503, "NR", reason);
+}
+
 // Passes a complete request to the request manager. Returns the reason if it can't be routed, else an empty
 // string.
 std::string ScgiServer::submit(ClientConnection& client) {
-    const Headers& headers = client.reader.headers();
-    const auto header = [&](std::string_view name) { return findHeader(headers, name); };
+    const auto header = [&](std::string_view name) { return client.reader.findHeader(name); };
     std::string_view path =
         header("REQUEST_URI").value_or(header("PATH_INFO").value_or(header("SCRIPT_NAME").value_or("")));
     path = path.substr(0, path.find('?'));
@@ -152,7 +204,7 @@
         routingKey = header(routeTarget.routingKeySource).value_or("");
     incoming.routingKey = fnv1aHash(routingKey.empty() ? path : routingKey);
     Headers forwardedHeaders;
-    for (const auto& each : headers)
+    for (const auto& each : client.reader.headers())
         if (each.first != "HTTP_X_TRACE" && each.first != "HTTP_X_DUE_MS") forwardedHeaders.push_back(each);
     forwardedHeaders.emplace_back("HTTP_X_TRACE", traceId);
     forwardedHeaders.emplace_back("HTTP_X_DUE_MS", std::to_string(*request.deadline / 1ms));
@@ -172,6 +224,7 @@
     ++counters_.complete;
     const std::string reason = submit(client);
     client.bodyMemory.release();
+    client.reader.release();
     if (reason.empty()) return;
     ++counters_.noRoute;
     respondWithError(client, 404, "NO", reason);
@@ -185,8 +238,11 @@
     client.responded = true;
     client.respondedAt = net::unixNow();
     client.bodyMemory.release();
-    client.connection->send(writeReply(status, {{"Content-Type", "text/plain"}},
-                                       std::string(reasonPhrase(status)) + ": " + reason + "\n"));
+    client.reader.release();
+    Headers headers = {{"Content-Type", "text/plain"}};
+    if (status == 503) headers.emplace_back("Retry-After", kRetryAfterSeconds);
+    client.connection->send(
+        writeReply(status, headers, std::string(reasonPhrase(status)) + ": " + reason + "\n"));
 }
 
 // The only place where a response removes the request from clientsByRequest_.
@@ -230,6 +286,7 @@
 
 void ScgiServer::close(ClientConnection& client) {
     client.bodyMemory.release();
+    client.reader.release();
     if (client.requestId) {
         clientsByRequest_.erase(*client.requestId);
         requests_.clientCancelled(*client.requestId);
@@ -238,7 +295,6 @@
     client.connection.reset();
     closedClients_.push_back(std::move(*client.position));
     clients_.erase(client.position);
-    if (listener_) listener_->resume();
 }
 
 // Runs 50 times per second, over a bounded number of connections. A client that exceeds the timeout of its
@@ -262,6 +318,7 @@
         respondWithError(client, 408, readingHead ? "HS" : "BS",
                          readingHead ? "the head came too slowly" : "the body came too slowly");
     }
+    resumeAccepting();
     timeoutTimer_.start(kTimeoutCheckInterval);
 }
 
--- a/src/scgi/scgi_server.h
+++ b/src/scgi/scgi_server.h
@@ -41,7 +41,7 @@
 /// Counted since the start; the gateway prints them under names of their own.
 struct ScgiServerCounters {
     std::uint64_t opened = 0, complete = 0, malformed = 0, timedOut = 0, noRoute = 0, noCapacity = 0,
-                  disconnected = 0, completed = 0, rejected = 0, failed = 0, cutAtShutdown = 0;
+                  disconnected = 0, completed = 0, rejected = 0, failed = 0, cutAtShutdown = 0, gaveWay = 0;
 };
 
 /// Accepts SCGI requests and passes them to the request manager. Not thread-safe.
@@ -73,6 +73,11 @@
 private:
     struct ClientConnection;
     void accept(net::PendingConnection socket);
+    bool hasPlace() const;
+    bool ensurePlace();
+    void resumeAccepting();
+    bool reserveBody(ClientConnection& client);
+    void shed(ClientConnection& client, const char* reason);
     void requestComplete(ClientConnection& client);
     std::string submit(ClientConnection& client);
     void respondWithError(ClientConnection& client, int status, const char* code, const std::string& reason);
--- a/src/serve/gateway.cpp
+++ b/src/serve/gateway.cpp
@@ -128,7 +128,8 @@
     out << "scgi: opened=" << scgi.opened << " whole=" << scgi.complete << " bad=" << scgi.malformed
         << " slow=" << scgi.timedOut << " no-route=" << scgi.noRoute << " no-room=" << scgi.noCapacity
         << " left=" << scgi.disconnected << " handled=" << scgi.completed << " bounced=" << scgi.rejected
-        << " scrapped=" << scgi.failed << " cut-at-end=" << scgi.cutAtShutdown << std::endl;
+        << " scrapped=" << scgi.failed << " cut-at-end=" << scgi.cutAtShutdown << " gave-way=" << scgi.gaveWay
+        << std::endl;
 }
 
 void Gateway::turnEnded() {
--- a/src/thrift/connection_table.cpp
+++ b/src/thrift/connection_table.cpp
@@ -46,8 +46,14 @@
     if (!full && new_.size() * kNewConnectionShareDivisor < capacity_) return {Action::Accept};
     if (ThriftConnection* const silent = findSilent(now)) return {Action::EvictAndAccept, silent};
     if (!full) return {Action::Accept};
+    ThriftConnection* const unfinished = findUnfinished();
+    const bool isUnfinishedForLong =
+        unfinished != nullptr && now - *unfinished->messageStartedAt() >= kEvictionGracePeriod;
     ThriftConnection* const idle = findIdle();
-    if (idle == nullptr) return {Action::Wait};
+    const bool mayWaitForUnfinished = unfinished != nullptr && !unfinished->hasBeenServed();
+    if (isUnfinishedForLong && (mayWaitForUnfinished || idle == nullptr))
+        return {Action::EvictAndAccept, unfinished};
+    if (idle == nullptr || (idle->hasBeenServed() && mayWaitForUnfinished)) return {Action::Wait};
     const bool maybeUnreadAnswer = now - idle->lastUsedAt() < kEvictionGracePeriod || idle->hasOutput();
     if (!maybeUnreadAnswer) return {Action::EvictAndAccept, idle};
     if (closing == 0) return {Action::CloseIdleThenWait, idle};
@@ -57,9 +63,9 @@
 namespace {
 
 // Smaller values give way first.
-using MemoryRank = std::tuple<bool, bool, Timestamp>;
+using EvictionRank = std::tuple<bool, bool, Timestamp>;
 
-MemoryRank memoryRankOf(const ThriftConnection& connection) {
+EvictionRank evictionRankOf(const ThriftConnection& connection) {
     const std::optional<Timestamp> messageStartedAt = connection.messageStartedAt();
     return {connection.hasBeenServed(), !messageStartedAt.has_value(),
             messageStartedAt.value_or(connection.lastUsedAt())};
@@ -73,7 +79,7 @@
         for (const auto& connection : *list) {
             if (connection.get() == except || connection->bytesBeyondGuarantee() == 0) continue;
             if (connection->hasOpenRequests() || connection->hasCompleteMessage()) continue;
-            if (first == nullptr || memoryRankOf(*connection) < memoryRankOf(*first))
+            if (first == nullptr || evictionRankOf(*connection) < evictionRankOf(*first))
                 first = connection.get();
         }
     }
@@ -89,11 +95,28 @@
     return nullptr;
 }
 
+// Of the incomplete messages on connections with nothing open, one of a client that was never served, and of
+// those the one that began first.
+ThriftConnection* ConnectionTable::findUnfinished() const {
+    ThriftConnection* first = nullptr;
+    for (const auto& connection : identified_) {
+        if (!connection->messageStartedAt()) continue;
+        if (connection->hasOpenRequests() || connection->hasCompleteMessage()) continue;
+        if (connection->hasUnreadBytes()) continue;
+        if (first == nullptr || evictionRankOf(*connection) < evictionRankOf(*first))
+            first = connection.get();
+    }
+    return first;
+}
+
 ThriftConnection* ConnectionTable::findIdle() const {
+    ThriftConnection* firstServed = nullptr;
     for (const auto& connection : identified_) {
-        if (connection->isIdle()) return connection.get();
+        if (!connection->isIdle()) continue;
+        if (!connection->hasBeenServed()) return connection.get();
+        if (firstServed == nullptr) firstServed = connection.get();
     }
-    return nullptr;
+    return firstServed;
 }
 
 }  // namespace cottonwing::thrift
--- a/src/thrift/connection_table.h
+++ b/src/thrift/connection_table.h
@@ -42,9 +42,11 @@
     /// First accepted first.
     const ConnectionList& newConnections() const { return new_; }
 
-    /// Decides whether a connection can be accepted and which one is evicted for it: first a new connection,
-    /// which never sent a complete message (only a fraction of the capacity is for those), then the least
-    /// recently used one without open requests. Connections with open requests are never evicted.
+    /// Decides whether a connection can be accepted and which one is evicted for it. First a new connection,
+    /// which never sent a complete message (only a fraction of the capacity is for those); then one that was
+    /// never served, with an incomplete message, the one that began first, or else idle; then the least
+    /// recently used idle one; then one that was served and has an incomplete message. Connections with open
+    /// requests are never evicted.
     /// @param closing  connections outside the table that still hold their descriptors
     AcceptDecision decideAccept(std::size_t closing, Timestamp now) const;
 
@@ -56,6 +58,7 @@
 
 private:
     ThriftConnection* findSilent(Timestamp now) const;
+    ThriftConnection* findUnfinished() const;
     ThriftConnection* findIdle() const;
 
     const std::size_t capacity_;
--- a/tests/scgi/scgi_clients_test.cpp
+++ b/tests/scgi/scgi_clients_test.cpp
@@ -37,5 +37,57 @@
     fixture.expectEveryRequestEnded();
 }
 
+// Two letters each, all different.
+scgi::Headers manyShortHeaders() {
+    scgi::Headers headers = {{"REQUEST_METHOD", "POST"}, {"REQUEST_URI", "/filing/1"}};
+    for (char first = 'a'; first <= 'z'; ++first)
+        for (char second = 'A'; second < 'A' + 58; ++second)
+            headers.emplace_back(std::string({first, second}), "");
+    return headers;
+}
+
+// Guards against memory that no account knows: a head of 8 kB with very many short headers took thirty times
+// its size while its body was awaited.
+TEST(ScgiClients, ManyShortHeadersTakeNoMoreMemoryThanTheirBytes) {
+    const scgi::Headers headers = manyShortHeaders();
+    const std::string bytes = scgi::writeRequest(headers, std::string(100, 'b'));
+    scgi::RequestReader reader({8192, 65536});
+    reader.read(bytes.substr(0, bytes.size() - 1));
+    ASSERT_EQ(reader.state(), scgi::RequestReader::State::Body);
+    EXPECT_LE(reader.bufferedBytes(), bytes.size());
+    EXPECT_EQ(reader.headers().size(), headers.size() + 2);  // and CONTENT_LENGTH, SCGI
+    EXPECT_EQ(reader.findHeader("zA"), std::string_view());
+    EXPECT_EQ(reader.findHeader("missing"), std::nullopt);
+    reader.read("b");
+    reader.release();
+    EXPECT_EQ(reader.bufferedBytes(), 0U);
+}
+
+// Guards against sound clients that are refused or never accepted, while others hold all memory for bodies
+// and all places with requests that they do not finish.
+TEST(ScgiClients, UnfinishedRequestsGiveWayToOthers) {
+    GatewayFixture fixture({loadtest::EmulatedScgiServerConfig{}}, "", "", "limits memory=16MiB sockets=128");
+    const std::string half = filing(std::string(65000, 'b')).substr(0, 60000);
+    std::vector<std::unique_ptr<RawClient>> unfinished;
+    for (int n = 0; n < 30; ++n) {
+        for (int i = 0; i < 4; ++i) {
+            unfinished.push_back(std::make_unique<RawClient>(fixture.port()));
+            unfinished.back()->send(half);
+        }
+        EXPECT_EQ(fixture.exchange("/filing/1", "POST", std::string(10000, 'b')).substr(0, 11),
+                  "Status: 200");
+    }
+    std::size_t shed = 0;
+    for (const auto& client : unfinished) {
+        if (!client->hasEnded()) continue;
+        ++shed;
+        EXPECT_TRUE(client->received.starts_with("Status: 503")) << client->received;
+        EXPECT_NE(client->received.find("Retry-After: "), std::string::npos);
+    }
+    EXPECT_GT(shed, 0U);
+    EXPECT_LE(fixture.gateway->scgiServer()->connections(), 40U);  // 128 * 0.3125
+    fixture.expectEveryRequestEnded();
+}
+
 }  // namespace
 }  // namespace cottonwing
--- a/tests/thrift/connection_table_test.cpp
+++ b/tests/thrift/connection_table_test.cpp
@@ -110,6 +110,35 @@
     EXPECT_EQ(table.decideAccept(0, later()).action, Action::EvictAndAccept);
 }
 
+// Guards against clients that are locked out by connections with an incomplete message.
+TEST_F(ConnectionTableTest, WhenFullUnfinishedMessagesOfTheNeverServedGiveWayFirst) {
+    const auto connectUnfinished = [&](Timestamp messageStartedAt) -> ThriftConnection& {
+        ThriftConnection& connection = connectIdentified();
+        clients.back()->send("x");
+        testing::runUntil(loop, [&] { return !connection.input().empty(); });
+        connection.noteIncompleteMessage(true, messageStartedAt);
+        return connection;
+    };
+    ThriftConnection& served = connectUnfinished(justNow());
+    served.noteServed();
+    ThriftConnection& idle = connectIdentified();
+    idle.noteServed();
+    connectUnfinished(justNow()).openRequest(1, 55);
+    ThriftConnection& young = connectUnfinished(later());
+    ThriftConnection& old = connectUnfinished(justNow());
+    AcceptDecision decision = table.decideAccept(kCapacity, later());
+    EXPECT_EQ(decision.action, Action::EvictAndAccept);
+    EXPECT_EQ(decision.connection, &old);
+    table.remove(old);
+    EXPECT_EQ(table.decideAccept(kCapacity, later()).action, Action::Wait) << "its rest may be on the way";
+    table.remove(young);
+    EXPECT_EQ(table.decideAccept(kCapacity, later()).connection, &idle);
+    table.remove(idle);
+    decision = table.decideAccept(kCapacity, later());
+    EXPECT_EQ(decision.action, Action::EvictAndAccept);
+    EXPECT_EQ(decision.connection, &served);
+}
+
 TEST_F(ConnectionTableTest, MemoryIsGivenUpByThoseWithNothingOpen) {
     const auto connectWithInput = [&](const std::string& bytes,
                                       Timestamp messageStartedAt) -> ThriftConnection& {
