Time that the network or this machine took is not counted against a client

What callers saw, or would have: connections that had served them were closed 1.5 s after a partition had cut a message in two, or 2 s after it had stopped the reading of answers; after a stop of the machine clients were closed or answered 408 at once.

Cause: found by looking at every time-out of a connection.

Change: a Thrift client that was served has no time-out for an incomplete message or unread output; it gives way when memory or places are short, and keepalive finds hosts that are gone.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+// The system ends an accepted connection whose host is gone some 10 s after this time without a byte.
+constexpr unsigned kKeepaliveSeconds = 30;
+
 constexpr std::size_t kMaxDiscardedBytes = 1 << 20;
 
 // A peer normally closes its side as soon as it reads our end of stream; a peer that does not is not waited
@@ -57,6 +60,7 @@
         throw std::runtime_error(std::string("can't accept connection: ") + uv_strerror(error));
     }
     uv_tcp_nodelay(&tcp_, 1);
+    uv_tcp_keepalive(&tcp_, 1, kKeepaliveSeconds);
     state_ = State::Open;
     connected_ = true;
     resumeReading();
--- a/src/scgi/scgi_server.cpp
+++ b/src/scgi/scgi_server.cpp
@@ -106,6 +106,7 @@
       randomGenerator_(seed ^ 0x5c61),
       requests_(requests),
       log_(log),
+      lastTimeoutCheckAt_(net::unixNow()),
       timeoutTimer_(loop, [this] { checkTimeouts(); }) {
     listener_ = std::make_unique<net::Listener>(
         loop, config_.listen, [this](net::PendingConnection socket) { accept(socket); },
@@ -313,11 +314,21 @@
     clients_.erase(client.position);
 }
 
+// The time in which this process stood still is not counted against its clients.
+void ScgiServer::excuseStall(Timestamp now) {
+    const Duration delay = now - std::exchange(lastTimeoutCheckAt_, now) - kTimeoutCheckInterval;
+    if (delay < kTimeoutCheckInterval) return;
+    for (const auto& client : clients_)
+        for (Timestamp* const since : {&client->openedAt, &client->headReadAt, &client->respondedAt})
+            *since = std::min(*since + delay, now);
+}
+
 // Runs 50 times per second, over a bounded number of connections. A client that exceeds the timeout of its
 // head or body gets an error response; a connection is closed once its response was read or has timed out.
 void ScgiServer::checkTimeouts() {
     closedClients_.clear();
     const Duration now = net::unixNow();
+    excuseStall(now);
     for (auto next = clients_.begin(); next != clients_.end();) {
         ClientConnection& client = **next++;
         if (client.responded) {
--- a/src/scgi/scgi_server.h
+++ b/src/scgi/scgi_server.h
@@ -88,6 +88,7 @@
     void respond(RequestId id, const std::string& bytes);
     void close(ClientConnection& client);
     void checkTimeouts();
+    void excuseStall(Timestamp now);
 
     net::Loop& loop_;
     const ScgiServerConfig config_;
@@ -104,6 +105,7 @@
     std::vector<std::unique_ptr<ClientConnection>> closedClients_;  // destroyed by the next timeout check
     std::unordered_map<RequestId, ClientConnection*> clientsByRequest_;
     int port_ = 0;
+    Timestamp lastTimeoutCheckAt_;
     net::Timer timeoutTimer_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/thrift/thrift_connection.cpp
+++ b/src/thrift/thrift_connection.cpp
@@ -1,5 +1,6 @@
 #include "thrift/thrift_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "net/clock.h"
@@ -130,6 +131,12 @@
     connection_.send(goaway);
 }
 
+void ThriftConnection::extendTimeouts(Duration by, Timestamp now) {
+    acceptedAt_ = std::min(acceptedAt_ + by, now);
+    for (std::optional<Timestamp>* const since : {&messageStartedAt_, &outputProgressAt_, &drainingSince_})
+        if (*since) *since = std::min(**since + by, now);
+}
+
 std::string ThriftConnection::describe() const {
     return "open_requests=" + std::to_string(openRequests_.size()) +
            " served=" + (served_ ? "true" : "false") + " protocol_errors=" + std::to_string(protocolErrors_) +
--- a/src/thrift/thrift_connection.h
+++ b/src/thrift/thrift_connection.h
@@ -131,6 +131,9 @@
     /// Whether the connection is idle, and the client has not closed it in time after the goaway.
     bool isDrainOverdue(Timestamp now) const;
 
+    /// Extends all timeouts by a time in which this process stood still, and perhaps its client with it.
+    void extendTimeouts(Duration by, Timestamp now);
+
     // Closing.
     /// Writes as much output as the socket accepts without blocking, for use just before the connection is
     /// destroyed.
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -44,6 +44,7 @@
       log_(log),
       counters_(counters),
       connections_(limits.thriftConnections),
+      lastSweepAt_(net::unixNow()),
       sweepTimer_(loop, [this] { sweep(); }),
       listener_(std::make_unique<net::Listener>(
           loop, at, [this](net::PendingConnection socket) { accept(socket); },
@@ -368,6 +369,7 @@
 void ThriftServer::sweep() {
     const Timestamp now = net::unixNow();
     sweepTimer_.start(kSweepInterval);
+    excuseStall(now);
     forEachConnection([](ThriftConnection& connection) { connection.resumeReading(); });
     // A goaway that had no room is sent now.
     if (!listener_) forEachConnection([now](ThriftConnection& connection) { connection.drain(now); });
@@ -380,6 +382,13 @@
     resumeAccepting();
 }
 
+// The time in which this process stood still is not counted against its clients.
+void ThriftServer::excuseStall(Timestamp now) {
+    const Duration delay = now - std::exchange(lastSweepAt_, now) - kSweepInterval;
+    if (delay < kSweepInterval) return;
+    forEachConnection([=](ThriftConnection& connection) { connection.extendTimeouts(delay, now); });
+}
+
 void ThriftServer::closeSilentConnections(Timestamp now) {
     const ConnectionList& silent = connections_.newConnections();
     while (!silent.empty() && now - silent.front()->acceptedAt() >= kFirstMessageTimeout)
@@ -389,11 +398,15 @@
 // Enforces the limits on a connection. If the client does not read its responses, closes it immediately. If
 // the client does not complete a message in time, or has sent too many invalid ones, closes it once its open
 // requests are answered. Closes a draining connection that the client left open, and drains an unused one.
+// A client that was served is sound: if its message or its reading comes to a halt, the network holds it
+// back, for as long as that takes. It gives way only when memory or places are short.
 void ThriftServer::checkConnection(ThriftConnection& connection, Timestamp now) {
     connection.observeOutput(now);
-    if (connection.isOutputStalled(now)) return abort(connection, net::ConnectionEnd::TimedOut);
+    const bool mayBeHeldBack = connection.hasBeenServed();
+    if (!mayBeHeldBack && connection.isOutputStalled(now))
+        return abort(connection, net::ConnectionEnd::TimedOut);
     if (!connection.readingStopped()) {
-        if (connection.isMessageOverdue(now))
+        if (!mayBeHeldBack && connection.isMessageOverdue(now))
             connection.stopReading(net::ConnectionEnd::TimedOut);
         else if (connection.hasTooManyProtocolErrors())
             connection.stopReading(net::ConnectionEnd::Malformed);
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -98,6 +98,7 @@
     void remove(ThriftConnection& connection);
 
     void sweep();
+    void excuseStall(Timestamp now);
     void closeSilentConnections(Timestamp now);
     void checkConnection(ThriftConnection& connection, Timestamp now);
     void stopListening();
@@ -118,6 +119,7 @@
     // end of their connection.
     std::unordered_map<RequestId, InFlight> inFlight_;
     Duration idleTimeout_{0};
+    Timestamp lastSweepAt_;
     net::Timer sweepTimer_;
     std::string scratch_;
     std::unique_ptr<net::Listener> listener_;
--- a/tests/scgi/scgi_clients_test.cpp
+++ b/tests/scgi/scgi_clients_test.cpp
@@ -2,6 +2,7 @@
 /// What clients of the SCGI server can do to their own requests and to those of others.
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "raw_client.h"
@@ -135,5 +136,21 @@
     fixture.expectEveryRequestEnded();
 }
 
+// Guards against requests answered as too slow, as the server itself had stood still.
+TEST(ScgiClients, AStallOfTheServerIsNoSlownessOfItsClients) {
+    GatewayFixture fixture({loadtest::EmulatedScgiServerConfig{}}, "head-within=200ms body-within=200ms");
+    const std::string bytes = filing("body");
+    RawClient client(fixture.port());
+    client.send(bytes.substr(0, bytes.size() - 1));
+    runUntil(fixture.loop, [&] { return fixture.gateway->scgiServer()->connections() == 1; });
+    for (int turn = 0; turn < 5; ++turn) fixture.loop.runWithoutWaiting();  // the head is read
+    std::this_thread::sleep_for(400ms);  // the machine, with the client on it
+    for (int turn = 0; turn < 5; ++turn) fixture.loop.runOnce();
+    EXPECT_EQ(fixture.gateway->scgiServer()->counters().timedOut, 0U);
+    client.send(bytes.substr(bytes.size() - 1));
+    runUntil(fixture.loop, [&] { return client.hasEnded(); });
+    EXPECT_TRUE(client.received.starts_with("Status: 200")) << client.received;
+}
+
 }  // namespace
 }  // namespace cottonwing
