At most 16 deep health checks of a connection wait for the worker pool

What callers saw, or would have: one client at full speed takes the process beyond its memory limit, and all requests with it.

Cause: a deep check waits up to 250 ms for the worker pool's answer, and nothing bounded how many wait.

Change: a connection counts its waiting checks. One beyond 16 is answered at once from the controller's state, as is one without an answer in time.

--- a/src/thrift/thrift_connection.cpp
+++ b/src/thrift/thrift_connection.cpp
@@ -43,6 +43,12 @@
     handler_.connectionEnded(*this, end);
 }
 
+bool ThriftConnection::beginHealthCheck() {
+    if (pendingHealthChecks_ >= kMaxPendingHealthChecks) return false;
+    ++pendingHealthChecks_;
+    return true;
+}
+
 void ThriftConnection::inputStarved(net::Connection& /*connection*/) { handler_.inputStarved(*this); }
 
 std::size_t ThriftConnection::bytesBeyondGuarantee() const {
--- a/src/thrift/thrift_connection.h
+++ b/src/thrift/thrift_connection.h
@@ -25,6 +25,9 @@
 /// The largest answer to a message that is not a request, or is not accepted as one.
 inline constexpr std::size_t kMaxControlFrameBytes = 1024;
 
+/// The largest number of health checks of one connection that wait for the worker pool.
+inline constexpr int kMaxPendingHealthChecks = 16;
+
 /// The connections of a server, in the order that ConnectionTable maintains.
 using ConnectionList = std::list<std::shared_ptr<ThriftConnection>>;
 
@@ -98,6 +101,12 @@
     /// Whether there are no open requests and no unprocessed or unread input.
     bool isIdle() const;
 
+    // Health checks that wait for the worker pool.
+    /// Begins one, which endHealthCheck() ends.
+    /// @return false if too many are pending.
+    bool beginHealthCheck();
+    void endHealthCheck() { --pendingHealthChecks_; }
+
     // Shared memory.
     /// The bytes of its buffers beyond those that are guaranteed to each connection.
     std::size_t bytesBeyondGuarantee() const;
@@ -175,6 +184,7 @@
     std::optional<Timestamp> drainingSince_;
     std::optional<net::ConnectionEnd> readingStopped_;
     int protocolErrors_ = 0;
+    int pendingHealthChecks_ = 0;
     bool served_ = false;
 };
 
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -212,11 +212,16 @@
 void ThriftServer::handleHealthCheck(ThriftConnection& connection, const Message& message) {
     counters_.add(Count::HealthChecks);
     if (message.oneway) return;  // no response is expected
-    if (!message.deepHealthCheck) return answerHealthCheck(connection, message.sequence, requests_.healthy());
+    // A deep check beyond the limit gets the answer that one without a timely result gets.
+    if (!message.deepHealthCheck || !connection.beginHealthCheck())
+        return answerHealthCheck(connection, message.sequence, requests_.healthy());
     // The connection may end before the check completes.
     requests_.checkEndToEndHealth(
         [this, weak = connection.weak_from_this(), sequence = message.sequence](bool healthy) {
-            if (const auto still = weak.lock()) answerHealthCheck(*still, sequence, healthy);
+            const auto still = weak.lock();
+            if (!still) return;
+            still->endHealthCheck();
+            answerHealthCheck(*still, sequence, healthy);
         });
 }
 
