One account of buffer memory and one measure of stalls; work that was done twice is gone

Need: read once more, the change kept the memory of a ring by arithmetic of its own beside MemoryReservation, measured stalls in the same three lines on both fronts, released an SCGI request in the same two lines at three places, asked for once-only classes in three, copied the headers of a request twice, and wrote a goaway for each connection that had one already.

Change: ByteRing holds a MemoryReservation; net::StallMeter, ClientConnection::releaseRequest and RequestManager::mayRunOnlyOnce serve all their places; the headers are copied once; the goaway is written when it is sent. No bound, check or test is changed.

--- a/src/net/byte_ring.cpp
+++ b/src/net/byte_ring.cpp
@@ -14,22 +14,20 @@
 }  // namespace
 
 ByteRing::ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget, std::size_t guaranteedBytes)
-    : maxBytes_(maxBytes), budget_(std::move(budget)), guaranteedBytes_(guaranteedBytes) {
-    setCapacity(0);
-}
-
-ByteRing::~ByteRing() { release(); }
+    : maxBytes_(maxBytes),
+      guaranteedBytes_(guaranteedBytes),
+      reservation_(std::move(budget), guaranteedBytes) {}
 
 void ByteRing::release() {
     size_ = 0;
     head_ = 0;
     guaranteedBytes_ = 0;
-    storage_.reset();
-    setCapacity(0);
+    freeStorage();
 }
 
 bool ByteRing::canWrite(std::size_t count) const {
-    return count <= freeBytes() && (size_ + count <= capacity_ || isAffordable(size_ + count));
+    return count <= freeBytes() &&
+           (size_ + count <= capacity_ || reservation_.canResize(reservationFor(size_ + count)));
 }
 
 bool ByteRing::write(std::string_view bytes) {
@@ -83,10 +81,7 @@
     size_ -= count;
     head_ = size_ == 0 ? 0 : (head_ + count) % capacity_;
     const std::size_t keptBytes = guaranteedBytes_ > 0 ? guaranteedBytes_ : kMaxCapacityWhenEmptyBytes;
-    if (size_ == 0 && capacity_ > keptBytes) {
-        storage_.reset();
-        setCapacity(0);
-    }
+    if (size_ == 0 && capacity_ > keptBytes) freeStorage();
 }
 
 // Grows to at least what is wanted, in steps that are large enough for few copies.
@@ -96,7 +91,8 @@
 }
 
 bool ByteRing::growTo(std::size_t capacity) {
-    if (capacity <= capacity_ || !isAffordable(capacity)) return false;
+    const std::size_t reservedBytes = reservationFor(capacity);
+    if (capacity <= capacity_ || !reservation_.canResize(reservedBytes)) return false;
     std::shared_ptr<char[]> storage(new char[capacity]);
     if (size_ > 0) {
         const std::string_view first = front();
@@ -104,23 +100,20 @@
         std::memcpy(storage.get() + first.size(), storage_.get(), size_ - first.size());
     }
     storage_ = std::move(storage);
-    setCapacity(capacity);
+    reservation_.resize(reservedBytes);
+    capacity_ = capacity;
     head_ = 0;
     return true;
 }
 
-std::size_t ByteRing::chargeOf(std::size_t capacity) const { return std::max(capacity, guaranteedBytes_); }
-
-bool ByteRing::isAffordable(std::size_t capacity) const {
-    const std::size_t charge = chargeOf(capacity);
-    return budget_ == nullptr || charge <= chargedBytes_ || budget_->hasRoomFor(charge - chargedBytes_);
+std::size_t ByteRing::reservationFor(std::size_t capacity) const {
+    return std::max(capacity, guaranteedBytes_);
 }
 
-void ByteRing::setCapacity(std::size_t capacity) {
-    const std::size_t charge = chargeOf(capacity);
-    if (budget_ != nullptr) budget_->usedBytes += charge - chargedBytes_;
-    chargedBytes_ = charge;
-    capacity_ = capacity;
+void ByteRing::freeStorage() {
+    storage_.reset();
+    capacity_ = 0;
+    reservation_.resize(reservationFor(0));
 }
 
 }  // namespace cottonwing::net
--- a/src/net/byte_ring.h
+++ b/src/net/byte_ring.h
@@ -25,7 +25,7 @@
     /// @param guaranteedBytes of the budget; at most maxBytes.
     explicit ByteRing(std::size_t maxBytes, std::shared_ptr<MemoryBudget> budget = nullptr,
                       std::size_t guaranteedBytes = 0);
-    ~ByteRing();
+    ~ByteRing() = default;
     ByteRing(const ByteRing&) = delete;
     ByteRing& operator=(const ByteRing&) = delete;
 
@@ -37,7 +37,7 @@
     std::size_t capacity() const { return capacity_; }
 
     /// The bytes of the budget that the ring holds beyond those that are guaranteed to it.
-    std::size_t bytesBeyondGuarantee() const { return chargedBytes_ - guaranteedBytes_; }
+    std::size_t bytesBeyondGuarantee() const { return reservation_.bytes() - guaranteedBytes_; }
 
     /// Whether write() would append this many bytes.
     bool canWrite(std::size_t count) const;
@@ -79,14 +79,12 @@
 private:
     bool grow(std::size_t wanted);
     bool growTo(std::size_t capacity);
-    std::size_t chargeOf(std::size_t capacity) const;
-    bool isAffordable(std::size_t capacity) const;
-    void setCapacity(std::size_t capacity);
+    std::size_t reservationFor(std::size_t capacity) const;
+    void freeStorage();
 
     std::size_t maxBytes_;
-    std::shared_ptr<MemoryBudget> budget_;
     std::size_t guaranteedBytes_;
-    std::size_t chargedBytes_ = 0;  // to the budget
+    MemoryReservation reservation_;  // of the capacity, or of what is guaranteed if that is more
     std::shared_ptr<char[]> storage_;
     std::size_t capacity_ = 0;
     std::size_t head_ = 0;  // offset of the first byte in the storage
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -26,9 +26,9 @@
     /// Holds nothing.
     MemoryReservation() = default;
     /// Takes the bytes in any case; the caller has asked MemoryBudget::hasRoomFor().
-    MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::size_t bytes)
-        : budget_(std::move(budget)), bytes_(bytes) {
-        budget_->usedBytes += bytes_;
+    /// @param budget if null, nothing limits the size.
+    MemoryReservation(std::shared_ptr<MemoryBudget> budget, std::size_t bytes) : budget_(std::move(budget)) {
+        setBytes(bytes);
     }
     ~MemoryReservation() { release(); }
     MemoryReservation(MemoryReservation&& other) noexcept
@@ -48,19 +48,25 @@
     /// Changes the size, if the budget has room for what is added.
     /// @return whether the size was changed.
     bool resize(std::size_t bytes) {
-        if (bytes > bytes_ && !budget_->hasRoomFor(bytes - bytes_)) return false;
-        budget_->usedBytes += bytes - bytes_;
-        bytes_ = bytes;
+        if (!canResize(bytes)) return false;
+        setBytes(bytes);
         return true;
     }
 
-    /// Gives the memory back.
-    void release() {
-        if (budget_ != nullptr) budget_->usedBytes -= bytes_;
-        bytes_ = 0;
+    /// Whether resize() would change the size.
+    bool canResize(std::size_t bytes) const {
+        return bytes <= bytes_ || budget_ == nullptr || budget_->hasRoomFor(bytes - bytes_);
     }
 
+    /// Gives the memory back.
+    void release() { setBytes(0); }
+
 private:
+    void setBytes(std::size_t bytes) {
+        if (budget_ != nullptr) budget_->usedBytes += bytes - bytes_;
+        bytes_ = bytes;
+    }
+
     std::shared_ptr<MemoryBudget> budget_;
     std::size_t bytes_ = 0;
 };
--- a/src/request/request_manager.cpp
+++ b/src/request/request_manager.cpp
@@ -79,15 +79,19 @@
     answerRejected(entry, {});
 }
 
+// Whether requests of the class have neither an idempotent effect nor a key.
+bool RequestManager::mayRunOnlyOnce(int requestClass) const {
+    return classOf(requestClass).idempotency == Idempotency::None;
+}
+
 bool RequestManager::mustNotRunAgain(RequestId id, int requestClass) {
-    if (classOf(requestClass).idempotency != Idempotency::None) return false;
-    return contains(id) || startedRequests_.contains(id, net::unixNow());
+    return mayRunOnlyOnce(requestClass) && (contains(id) || startedRequests_.contains(id, net::unixNow()));
 }
 
 // An id that comes again after its request has run is answered as failed, as its effect may have happened.
 // Returns whether to proceed with the request; if not, it has been answered.
 bool RequestManager::claimId(Table::iterator entry, const IncomingRequest& incoming) {
-    if (classOf(incoming.request.requestClass).idempotency != Idempotency::None) return true;
+    if (!mayRunOnlyOnce(incoming.request.requestClass)) return true;
     const Timestamp now = net::unixNow();
     if (startedRequests_.contains(incoming.request.id, now)) {
         counters_.add(Count::RepeatedIds);
@@ -402,9 +406,9 @@
     TrackedRequest& request = entry->second;
     if (!request.isClientWaiting() || !request.sink->isClientConnected(decision.id)) return omitRun(entry);
     counters_.add(Count::RunsStarted);
-    const RequestClass& requestClass = classOf(request.requestClass);
-    if (requestClass.idempotency == Idempotency::None)
-        startedRequests_.add(decision.id, net::unixNow() + requestClass.timeout + kClockTolerance);
+    if (mayRunOnlyOnce(request.requestClass))
+        startedRequests_.add(decision.id,
+                             net::unixNow() + classOf(request.requestClass).timeout + kClockTolerance);
     sendStart(request);
 }
 
--- a/src/request/request_manager.h
+++ b/src/request/request_manager.h
@@ -143,6 +143,7 @@
     Table::iterator track(const IncomingRequest& incoming);
     bool hasCapacityFor(std::size_t bytes) const;
     void rejectForCapacity(Table::iterator entry, const IncomingRequest& incoming);
+    bool mayRunOnlyOnce(int requestClass) const;
     bool claimId(Table::iterator entry, const IncomingRequest& incoming);
     bool claimIdempotencyKey(Table::iterator entry, IncomingRequest& incoming);
     void enqueueArrival(Table::iterator entry, IncomingRequest incoming, std::size_t bytes);
--- a/src/scgi/scgi_server.cpp
+++ b/src/scgi/scgi_server.cpp
@@ -82,6 +82,11 @@
     // Whether its request is still being read: it was neither passed on nor answered. Everything that follows
     // is discarded, as a request that was answered must not run.
     bool isReading() const { return !requestId && !responded; }
+    // Frees the request's head and body, which were passed on or are not needed any more.
+    void releaseRequest() {
+        reader.release();
+        bodyMemory.release();
+    }
 
     ScgiServer& server;
     RequestReader reader;
@@ -106,7 +111,7 @@
       randomGenerator_(seed ^ 0x5c61),
       requests_(requests),
       log_(log),
-      lastTimeoutCheckAt_(net::unixNow()),
+      stallMeter_(kTimeoutCheckInterval),
       timeoutTimer_(loop, [this] { checkTimeouts(); }) {
     listener_ = std::make_unique<net::Listener>(
         loop, config_.listen, [this](net::PendingConnection socket) { accept(socket); },
@@ -207,9 +212,10 @@
     if (routingKey.empty() && !routeTarget.routingKeySource.empty())
         routingKey = header(routeTarget.routingKeySource).value_or("");
     incoming.routingKey = fnv1aHash(routingKey.empty() ? path : routingKey);
-    Headers forwardedHeaders;
-    for (const auto& each : client.reader.headers())
-        if (each.first != "HTTP_X_TRACE" && each.first != "HTTP_X_DUE_MS") forwardedHeaders.push_back(each);
+    Headers forwardedHeaders = client.reader.headers();
+    std::erase_if(forwardedHeaders, [](const auto& each) {
+        return each.first == "HTTP_X_TRACE" || each.first == "HTTP_X_DUE_MS";
+    });
     forwardedHeaders.emplace_back("HTTP_X_TRACE", traceId);
     forwardedHeaders.emplace_back("HTTP_X_DUE_MS", std::to_string(*request.deadline / 1ms));
     incoming.body = writeRequest(forwardedHeaders, client.reader.body());
@@ -227,8 +233,7 @@
 void ScgiServer::requestComplete(ClientConnection& client) {
     ++counters_.complete;
     const std::optional<SubmitError> error = submit(client);
-    client.bodyMemory.release();
-    client.reader.release();
+    client.releaseRequest();
     if (!error) return;
     if (*error == SubmitError::IdUsedBefore) {
         ++counters_.repeatedIds;
@@ -245,8 +250,7 @@
     log_.warn("scgi", std::string(code) + " " + std::to_string(status) + ": " + reason);
     client.responded = true;
     client.respondedAt = net::unixNow();
-    client.bodyMemory.release();
-    client.reader.release();
+    client.releaseRequest();
     Headers headers = {{"Content-Type", "text/plain"}};
     if (status == 503) headers.emplace_back("Retry-After", kRetryAfterSeconds);
     client.connection->send(
@@ -302,8 +306,7 @@
 }
 
 void ScgiServer::close(ClientConnection& client) {
-    client.bodyMemory.release();
-    client.reader.release();
+    client.releaseRequest();
     if (client.requestId) {
         clientsByRequest_.erase(*client.requestId);
         requests_.clientCancelled(*client.requestId);
@@ -316,11 +319,11 @@
 
 // The time in which this process stood still is not counted against its clients.
 void ScgiServer::excuseStall(Timestamp now) {
-    const Duration delay = now - std::exchange(lastTimeoutCheckAt_, now) - kTimeoutCheckInterval;
-    if (delay < kTimeoutCheckInterval) return;
+    const Duration stall = stallMeter_.stalledFor(now);
+    if (stall == 0ns) return;
     for (const auto& client : clients_)
         for (Timestamp* const since : {&client->openedAt, &client->headReadAt, &client->respondedAt})
-            *since = std::min(*since + delay, now);
+            *since = std::min(*since + stall, now);
 }
 
 // Runs 50 times per second, over a bounded number of connections. A client that exceeds the timeout of its
--- a/src/scgi/scgi_server.h
+++ b/src/scgi/scgi_server.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "net/connection.h"
+#include "net/stall_meter.h"
 #include "request/request_manager.h"
 #include "routing/route_table.h"
 #include "scgi/message.h"
@@ -105,7 +106,7 @@
     std::vector<std::unique_ptr<ClientConnection>> closedClients_;  // destroyed by the next timeout check
     std::unordered_map<RequestId, ClientConnection*> clientsByRequest_;
     int port_ = 0;
-    Timestamp lastTimeoutCheckAt_;
+    net::StallMeter stallMeter_;
     net::Timer timeoutTimer_;
     std::unique_ptr<net::Listener> listener_;
 };
--- a/src/thrift/thrift_connection.cpp
+++ b/src/thrift/thrift_connection.cpp
@@ -131,8 +131,9 @@
 
 // The goaway does not count as use of the connection.
 void ThriftConnection::drain(Timestamp now) {
+    if (drainingSince_) return;
     const std::string goaway = writeGoaway();
-    if (drainingSince_ || !connection_.canSend(goaway.size())) return;
+    if (!connection_.canSend(goaway.size())) return;
     drainingSince_ = now;
     connection_.send(goaway);
 }
--- a/src/thrift/thrift_server.cpp
+++ b/src/thrift/thrift_server.cpp
@@ -44,7 +44,7 @@
       log_(log),
       counters_(counters),
       connections_(limits.thriftConnections),
-      lastSweepAt_(net::unixNow()),
+      stallMeter_(kSweepInterval),
       sweepTimer_(loop, [this] { sweep(); }),
       listener_(std::make_unique<net::Listener>(
           loop, at, [this](net::PendingConnection socket) { accept(socket); },
@@ -389,9 +389,9 @@
 
 // The time in which this process stood still is not counted against its clients.
 void ThriftServer::excuseStall(Timestamp now) {
-    const Duration delay = now - std::exchange(lastSweepAt_, now) - kSweepInterval;
-    if (delay < kSweepInterval) return;
-    forEachConnection([=](ThriftConnection& connection) { connection.extendTimeouts(delay, now); });
+    const Duration stall = stallMeter_.stalledFor(now);
+    if (stall == 0ns) return;
+    forEachConnection([=](ThriftConnection& connection) { connection.extendTimeouts(stall, now); });
 }
 
 void ThriftServer::closeSilentConnections(Timestamp now) {
--- a/src/thrift/thrift_server.h
+++ b/src/thrift/thrift_server.h
@@ -11,6 +11,7 @@
 #include "config/process_config.h"
 #include "net/connection.h"
 #include "net/listener.h"
+#include "net/stall_meter.h"
 #include "net/timer.h"
 #include "request/request_manager.h"
 #include "thrift/codec.h"
@@ -119,7 +120,7 @@
     // end of their connection.
     std::unordered_map<RequestId, InFlight> inFlight_;
     Duration idleTimeout_{0};
-    Timestamp lastSweepAt_;
+    net::StallMeter stallMeter_;
     net::Timer sweepTimer_;
     std::string scratch_;
     std::unique_ptr<net::Listener> listener_;
